--- /dev/null
+++ b/examples/standinclient.cpp
@@ -0,0 +1,182 @@
+#include "standinclient.h"
+
+#include "trefoilrund/signal.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <optional>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr auto CallTimeout = std::chrono::seconds(6);
+constexpr auto RetryDelay = std::chrono::milliseconds(200);
+
+// Connection to one entry, opened when it is needed.
+class EntryClient
+{
+public:
+    explicit EntryClient(const asio::any_io_executor &executor)
+        : stream_(executor)
+    {}
+
+    asio::awaitable<std::optional<json::object>> post(std::string entry, std::string path,
+                                                      json::object body)
+    {
+        if (entry != entry_)
+            co_await connect(entry);
+        if (entry != entry_)
+            co_return std::nullopt;
+        http::request<http::string_body> request(http::verb::post, path, 11);
+        request.set(http::field::host, entry);
+        request.set(http::field::content_type, "application/json");
+        request.body() = json::serialize(body);
+        request.prepare_payload();
+        stream_.expires_after(CallTimeout);
+        const auto [writeError, written] = co_await http::async_write(stream_, request, AsTuple);
+        http::response<http::string_body> response;
+        beast::error_code readError;
+        if (!writeError)
+            std::tie(readError, std::ignore) =
+                    co_await http::async_read(stream_, buffer_, response, AsTuple);
+        if (writeError || readError) {
+            entry_.clear();
+            co_return std::nullopt;
+        }
+        if (!response.keep_alive())
+            entry_.clear();
+        beast::error_code parseError;
+        const json::value value = json::parse(response.body(), parseError);
+        if (parseError || !value.is_object())
+            co_return std::nullopt;
+        co_return value.as_object();
+    }
+
+private:
+    asio::awaitable<void> connect(std::string entry)
+    {
+        entry_.clear();
+        buffer_.clear();
+        const auto address = parseAddress(entry);
+        if (!address)
+            co_return;
+        stream_.close();
+        stream_.expires_after(CallTimeout);
+        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address->host),
+                                               address->port);
+        const auto [error] = co_await stream_.async_connect(endpoint, AsTuple);
+        if (!error)
+            entry_ = entry;
+    }
+
+    beast::tcp_stream stream_;
+    beast::flat_buffer buffer_;
+    std::string entry_;
+};
+
+json::object announcement(const EndpointFacts &facts)
+{
+    json::object body{{"vm", facts.vm},
+                      {"address", facts.address},
+                      {"domain", facts.domain},
+                      {"accelerators", facts.accelerators},
+                      {"slots", facts.slots},
+                      {"incarnation", facts.incarnation},
+                      {"enforces_fencing", facts.enforcesFencing}};
+    if (!facts.fabric.empty())
+        body["fabric"] = facts.fabric;
+    if (!facts.service.empty())
+        body["service"] = facts.service;
+    return body;
+}
+
+json::object heartbeat(const EndpointFacts &facts, const EndpointReport &report)
+{
+    json::array weights;
+    for (const std::string &name : report.weights)
+        weights.emplace_back(name);
+    return {{"vm", facts.vm},
+            {"incarnation", facts.incarnation},
+            {"group", report.group},
+            {"state", report.state},
+            {"in_flight", report.inFlight},
+            {"weights", std::move(weights)}};
+}
+
+json::object leaveNotice(const EndpointFacts &facts)
+{
+    return {{"vm", facts.vm}, {"incarnation", facts.incarnation}};
+}
+
+bool isTrue(const json::object &object, const char *field)
+{
+    const json::value *value = object.if_contains(field);
+    return value && value->is_bool() && value->as_bool();
+}
+
+asio::awaitable<void> sleepFor(Duration duration)
+{
+    RuntimeTimer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(AsTuple);
+}
+
+} // namespace
+
+asio::awaitable<void> keepAnnounced(EndpointFacts facts, std::function<EndpointReport()> report,
+                                    std::function<bool()> isSilent)
+{
+    EntryClient client(co_await asio::this_coro::executor);
+    std::string entry;
+    std::size_t next = 0;
+    bool isAnnounced = false;
+    Duration interval = RetryDelay;
+    while (true) {
+        if (isSilent()) {
+            co_await sleepFor(RetryDelay);
+            continue;
+        }
+        if (entry.empty())
+            entry = facts.entries[next++ % facts.entries.size()];
+        const std::string path = isAnnounced ? "/v1/endpoints/heartbeat" : "/v1/endpoints/announce";
+        const json::object body = isAnnounced ? heartbeat(facts, report()) : announcement(facts);
+        const auto answer = co_await client.post(entry, path, body);
+        if (!answer || !isTrue(*answer, "accepted")) {
+            entry.clear();
+            co_await sleepFor(RetryDelay);
+            continue;
+        }
+        isAnnounced = !isTrue(*answer, "must_announce");
+        const json::value *reportTo = answer->if_contains("report_to");
+        if (reportTo && reportTo->is_string() && !reportTo->as_string().empty())
+            entry = std::string(reportTo->as_string());
+        const json::value *wanted = answer->if_contains("heartbeat_ms");
+        if (wanted && wanted->is_int64())
+            interval = std::chrono::milliseconds(wanted->as_int64());
+        co_await sleepFor(interval);
+    }
+}
+
+asio::awaitable<bool> announceLeaving(EndpointFacts facts)
+{
+    EntryClient client(co_await asio::this_coro::executor);
+    for (const std::string &entry : facts.entries) {
+        const auto answer = co_await client.post(entry, "/v1/endpoints/leave", leaveNotice(facts));
+        if (answer && isTrue(*answer, "accepted"))
+            co_return true;
+    }
+    co_return false;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libcoord/raft.cpp
@@ -0,0 +1,438 @@
+#include "libcoord/raft.h"
+
+#include "libcoord/raftinternal.h"
+
+#include <algorithm>
+
+namespace Trefoil {
+
+using namespace RaftInternal;
+
+LogIndex lastLogIndex(const RaftState &raft)
+{
+    return raft.snapshot->index + raft.log.size();
+}
+
+const LogEntry *entryAt(const RaftState &raft, LogIndex index)
+{
+    if (index <= raft.snapshot->index || index > lastLogIndex(raft))
+        return nullptr;
+    return &raft.log[index - raft.snapshot->index - 1];
+}
+
+Term termAt(const RaftState &raft, LogIndex index)
+{
+    if (index == raft.snapshot->index)
+        return raft.snapshot->term;
+    const LogEntry *entry = entryAt(raft, index);
+    return entry ? entry->term : 0;
+}
+
+bool isVoter(const RaftState &raft, SeatId seat)
+{
+    return std::any_of(raft.seats.begin(), raft.seats.end(),
+                       [seat](const Seat &s) { return s.id == seat && s.voter; });
+}
+
+std::size_t quorumSize(const SeatSet &seats)
+{
+    const auto voters =
+            std::count_if(seats.begin(), seats.end(), [](const Seat &s) { return s.voter; });
+    return static_cast<std::size_t>(voters) / 2 + 1;
+}
+
+namespace {
+
+void resetElectionTimer(RaftState &raft, TimePoint now)
+{
+    std::uniform_int_distribution<Duration::rep> jitter(0, raft.options.electionTimeout.count());
+    raft.electionDeadline = now + raft.options.electionTimeout + Duration(jitter(raft.rng));
+}
+
+RaftMessage makeMessage(const RaftState &raft, RaftMessageKind kind, SeatId to)
+{
+    RaftMessage message;
+    message.kind = kind;
+    message.from = raft.self;
+    message.to = to;
+    message.term = raft.hard.term;
+    return message;
+}
+
+void requestVotes(RaftState &raft, RaftMessageKind kind, Term term, RaftOutput &out)
+{
+    for (const Seat &seat : raft.seats) {
+        if (seat.id == raft.self || !seat.voter)
+            continue;
+        RaftMessage request = makeMessage(raft, kind, seat.id);
+        request.term = term;
+        request.index = lastLogIndex(raft);
+        request.logTerm = termAt(raft, request.index);
+        // A vote request follows the candidate's own durable vote.
+        out.sendAfterSync.push_back(std::move(request));
+    }
+}
+
+void startElection(RaftState &raft, TimePoint now, RaftOutput &out)
+{
+    raft.role = RaftRole::Candidate;
+    raft.leader = NoSeat;
+    raft.hard.term += 1;
+    raft.hard.votedFor = raft.self;
+    raft.votes = {raft.self};
+    out.disk.hardState = raft.hard;
+    resetElectionTimer(raft, now);
+    if (raft.votes.size() >= quorumSize(raft.seats)) {
+        becomeLeader(raft, now, out);
+        return;
+    }
+    requestVotes(raft, RaftMessageKind::VoteRequest, raft.hard.term, out);
+}
+
+void startPreVote(RaftState &raft, TimePoint now, RaftOutput &out)
+{
+    raft.role = RaftRole::PreCandidate;
+    raft.leader = NoSeat;
+    raft.votes = {raft.self};
+    resetElectionTimer(raft, now);
+    if (raft.votes.size() >= quorumSize(raft.seats)) {
+        startElection(raft, now, out);
+        return;
+    }
+    requestVotes(raft, RaftMessageKind::PreVoteRequest, raft.hard.term + 1, out);
+}
+
+bool isLogUpToDate(const RaftState &raft, const RaftMessage &request)
+{
+    const LogIndex last = lastLogIndex(raft);
+    const Term lastTerm = termAt(raft, last);
+    if (request.logTerm != lastTerm)
+        return request.logTerm > lastTerm;
+    return request.index >= last;
+}
+
+// A seat that heard from a leader within the shortest election timeout supports nobody else: this
+// is what makes the leader lease safe and keeps a returning seat from disturbing the others.
+bool isLeaderAlive(const RaftState &raft, TimePoint now)
+{
+    return now < raft.lastLeaderContact + raft.options.electionTimeout;
+}
+
+void receiveVoteRequest(RaftState &raft, const RaftMessage &request, TimePoint now, RaftOutput &out)
+{
+    const bool preVote = request.kind == RaftMessageKind::PreVoteRequest;
+    const bool leading = raft.role == RaftRole::Leader;
+    if (leading || isLeaderAlive(raft, now))
+        return;
+    if (!preVote && request.term > raft.hard.term)
+        becomeFollower(raft, request.term, NoSeat, now, out);
+
+    const bool termOk = preVote ? request.term > raft.hard.term : request.term == raft.hard.term;
+    const bool free = preVote || raft.hard.votedFor == NoSeat || raft.hard.votedFor == request.from;
+    const bool granted = termOk && free && isLogUpToDate(raft, request);
+    RaftMessage reply =
+            makeMessage(raft, preVote ? RaftMessageKind::PreVoteReply : RaftMessageKind::VoteReply,
+                        request.from);
+    reply.granted = granted;
+    if (granted && preVote)
+        reply.term = request.term;
+    if (granted && !preVote) {
+        if (raft.hard.votedFor != request.from) {
+            raft.hard.votedFor = request.from;
+            out.disk.hardState = raft.hard;
+        }
+        resetElectionTimer(raft, now);
+    }
+    out.sendAfterSync.push_back(std::move(reply));
+}
+
+void receiveVoteReply(RaftState &raft, const RaftMessage &reply, TimePoint now, RaftOutput &out)
+{
+    const bool preVote = reply.kind == RaftMessageKind::PreVoteReply;
+    const RaftRole wanted = preVote ? RaftRole::PreCandidate : RaftRole::Candidate;
+    if (raft.role != wanted || !reply.granted || !isVoter(raft, reply.from))
+        return;
+    if (reply.term != raft.hard.term + (preVote ? 1 : 0))
+        return;
+    raft.votes.insert(reply.from);
+    if (raft.votes.size() < quorumSize(raft.seats))
+        return;
+    if (preVote)
+        startElection(raft, now, out);
+    else
+        becomeLeader(raft, now, out);
+}
+
+void truncateFrom(RaftState &raft, LogIndex index, RaftOutput &out)
+{
+    raft.log.erase(raft.log.begin() + static_cast<std::ptrdiff_t>(index - raft.snapshot->index - 1),
+                   raft.log.end());
+    raft.durableIndex = std::min(raft.durableIndex, index - 1);
+    std::erase_if(out.disk.append, [index](const LogEntry &e) { return e.index >= index; });
+    if (!out.disk.truncateFrom || *out.disk.truncateFrom > index)
+        out.disk.truncateFrom = index;
+    adoptSeats(raft);
+}
+
+// Rejects with a hint: the first index of the conflicting term, so that a long divergent tail is
+// skipped in one exchange.
+void rejectAppend(RaftState &raft, const RaftMessage &request, RaftMessage &reply)
+{
+    const LogIndex last = lastLogIndex(raft);
+    LogIndex hint = std::min(request.index, last + 1);
+    if (hint <= last && hint > raft.snapshot->index) {
+        const Term conflict = termAt(raft, hint);
+        while (hint > raft.snapshot->index + 1 && termAt(raft, hint - 1) == conflict)
+            --hint;
+    }
+    reply.granted = false;
+    reply.index = std::max(hint, raft.commitIndex + 1) - 1;
+}
+
+void receiveAppend(RaftState &raft, const RaftMessage &request, TimePoint now, RaftOutput &out)
+{
+    RaftMessage reply = makeMessage(raft, RaftMessageKind::AppendReply, request.from);
+    reply.round = request.round;
+    const bool known = request.index <= raft.commitIndex
+                       || (request.index <= lastLogIndex(raft)
+                           && termAt(raft, request.index) == request.logTerm);
+    if (!known) {
+        rejectAppend(raft, request, reply);
+        out.sendAfterSync.push_back(std::move(reply));
+        return;
+    }
+    LogIndex match = request.index;
+    for (const LogEntry &entry : request.entries) {
+        match = entry.index;
+        if (entry.index <= raft.commitIndex)
+            continue;
+        if (entry.index <= lastLogIndex(raft)) {
+            if (termAt(raft, entry.index) == entry.term)
+                continue;
+            truncateFrom(raft, entry.index, out);
+        }
+        appendLocal(raft, entry, out);
+    }
+    advanceCommit(raft, std::min(request.commit, match), out);
+    reply.granted = true;
+    reply.index = match;
+    out.sendAfterSync.push_back(std::move(reply));
+    resetElectionTimer(raft, now);
+}
+
+void installSnapshot(RaftState &raft, const RaftMessage &chunk, RaftOutput &out)
+{
+    auto snapshot = std::make_shared<RaftSnapshot>();
+    snapshot->index = chunk.index;
+    snapshot->term = chunk.logTerm;
+    snapshot->seats = chunk.seats;
+    snapshot->data = std::make_shared<const std::string>(std::move(raft.incomingSnapshot));
+    raft.incomingSnapshot.clear();
+    raft.snapshot = snapshot;
+    raft.log.clear();
+    raft.commitIndex = snapshot->index;
+    raft.durableIndex = snapshot->index;
+    adoptSeats(raft);
+    out.disk.truncateFrom.reset();
+    out.disk.append.clear();
+    out.disk.snapshot = snapshot;
+    out.committed.clear();
+    out.restore = snapshot;
+}
+
+void receiveSnapshotChunk(RaftState &raft, const RaftMessage &chunk, TimePoint now, RaftOutput &out)
+{
+    resetElectionTimer(raft, now);
+    RaftMessage reply = makeMessage(raft, RaftMessageKind::SnapshotReply, chunk.from);
+    reply.round = chunk.round;
+    reply.index = chunk.index;
+    if (chunk.index <= raft.commitIndex) {
+        reply.granted = true;
+        out.sendAfterSync.push_back(std::move(reply));
+        return;
+    }
+    if (chunk.index != raft.incomingSnapshotIndex || chunk.offset == 0) {
+        raft.incomingSnapshotIndex = chunk.index;
+        raft.incomingSnapshot.clear();
+    }
+    if (chunk.offset == raft.incomingSnapshot.size()) {
+        raft.incomingSnapshot += chunk.chunk;
+        if (chunk.last) {
+            installSnapshot(raft, chunk, out);
+            raft.incomingSnapshotIndex = 0;
+            reply.granted = true;
+        }
+    }
+    reply.offset = raft.incomingSnapshot.size();
+    out.sendAfterSync.push_back(std::move(reply));
+}
+
+bool isFromLeader(RaftMessageKind kind)
+{
+    return kind == RaftMessageKind::AppendRequest || kind == RaftMessageKind::SnapshotChunk;
+}
+
+void receiveFromLeader(RaftState &raft, const RaftMessage &message, TimePoint now, RaftOutput &out)
+{
+    if (message.term < raft.hard.term) {
+        // Tells a deposed leader the current term.
+        out.send.push_back(makeMessage(raft, RaftMessageKind::AppendReply, message.from));
+        return;
+    }
+    if (message.term > raft.hard.term || raft.role != RaftRole::Follower)
+        becomeFollower(raft, message.term, message.from, now, out);
+    raft.leader = message.from;
+    raft.lastLeaderContact = now;
+    if (message.kind == RaftMessageKind::AppendRequest)
+        receiveAppend(raft, message, now, out);
+    else
+        receiveSnapshotChunk(raft, message, now, out);
+}
+
+} // namespace
+
+namespace RaftInternal {
+
+void becomeFollower(RaftState &raft, Term term, SeatId leader, TimePoint now, RaftOutput &out)
+{
+    if (term > raft.hard.term) {
+        raft.hard.term = term;
+        raft.hard.votedFor = NoSeat;
+        out.disk.hardState = raft.hard;
+    }
+    raft.role = RaftRole::Follower;
+    raft.leader = leader;
+    raft.leaseUntil = {};
+    raft.followers.clear();
+    raft.roundSent.clear();
+    failReads(raft, out);
+    resetElectionTimer(raft, now);
+}
+
+void appendLocal(RaftState &raft, LogEntry entry, RaftOutput &out)
+{
+    if (entry.kind == EntryKind::Seats) {
+        raft.seats = entry.seats;
+        raft.seatsIndex = entry.index;
+    }
+    out.disk.append.push_back(entry);
+    raft.log.push_back(std::move(entry));
+}
+
+void advanceCommit(RaftState &raft, LogIndex commit, RaftOutput &out)
+{
+    for (LogIndex index = raft.commitIndex + 1; index <= commit; ++index)
+        out.committed.push_back(*entryAt(raft, index));
+    raft.commitIndex = std::max(raft.commitIndex, commit);
+}
+
+void adoptSeats(RaftState &raft)
+{
+    raft.seats = raft.snapshot->seats;
+    raft.seatsIndex = raft.snapshot->index;
+    for (const LogEntry &entry : raft.log) {
+        if (entry.kind != EntryKind::Seats)
+            continue;
+        raft.seats = entry.seats;
+        raft.seatsIndex = entry.index;
+    }
+}
+
+} // namespace RaftInternal
+
+RaftState makeRaft(SeatId self, const RaftOptions &options, const HardState &hard,
+                   std::shared_ptr<const RaftSnapshot> snapshot, std::vector<LogEntry> log,
+                   const SeatSet &initialSeats, std::uint64_t seed, TimePoint now)
+{
+    RaftState raft;
+    raft.options = options;
+    raft.self = self;
+    raft.rng.seed(seed);
+    raft.hard = hard;
+    if (snapshot)
+        raft.snapshot = std::move(snapshot);
+    if (raft.snapshot->index == 0 && raft.snapshot->seats.empty()) {
+        auto first = std::make_shared<RaftSnapshot>();
+        first->seats = initialSeats;
+        raft.snapshot = first;
+    }
+    raft.log.assign(std::make_move_iterator(log.begin()), std::make_move_iterator(log.end()));
+    raft.commitIndex = raft.snapshot->index;
+    raft.durableIndex = lastLogIndex(raft);
+    adoptSeats(raft);
+    raft.lastLeaderContact = now;
+    resetElectionTimer(raft, now);
+    return raft;
+}
+
+void raftTick(RaftState &raft, TimePoint now, RaftOutput &out)
+{
+    if (raft.role == RaftRole::Leader) {
+        leaderTick(raft, now, out);
+        return;
+    }
+    // A seat's own vote is bound by the same promise to the current leader as a vote for others.
+    if (now < raft.electionDeadline || isLeaderAlive(raft, now) || !isVoter(raft, raft.self))
+        return;
+    startPreVote(raft, now, out);
+}
+
+void raftReceive(RaftState &raft, const RaftMessage &message, TimePoint now, RaftOutput &out)
+{
+    if (message.to != raft.self)
+        return;
+    switch (message.kind) {
+    case RaftMessageKind::PreVoteRequest:
+    case RaftMessageKind::VoteRequest:
+        receiveVoteRequest(raft, message, now, out);
+        return;
+    default:
+        break;
+    }
+    if (isFromLeader(message.kind)) {
+        receiveFromLeader(raft, message, now, out);
+        return;
+    }
+    const bool grantedPreVote = message.kind == RaftMessageKind::PreVoteReply && message.granted;
+    if (message.term > raft.hard.term && !grantedPreVote) {
+        becomeFollower(raft, message.term, NoSeat, now, out);
+        return;
+    }
+    switch (message.kind) {
+    case RaftMessageKind::PreVoteReply:
+    case RaftMessageKind::VoteReply:
+        receiveVoteReply(raft, message, now, out);
+        break;
+    case RaftMessageKind::AppendReply:
+        leaderAppendReply(raft, message, now, out);
+        break;
+    case RaftMessageKind::SnapshotReply:
+        leaderSnapshotReply(raft, message, now, out);
+        break;
+    default:
+        break;
+    }
+}
+
+void raftCompact(RaftState &raft, LogIndex index, std::string data, RaftOutput &out)
+{
+    if (index <= raft.snapshot->index || index > raft.commitIndex)
+        return;
+    auto snapshot = std::make_shared<RaftSnapshot>();
+    snapshot->index = index;
+    snapshot->term = termAt(raft, index);
+    snapshot->seats = raft.snapshot->seats;
+    const auto kept = static_cast<std::ptrdiff_t>(index - raft.snapshot->index);
+    for (auto entry = raft.log.begin(); entry != raft.log.begin() + kept; ++entry) {
+        if (entry->kind == EntryKind::Seats)
+            snapshot->seats = entry->seats;
+    }
+    snapshot->data = std::make_shared<const std::string>(std::move(data));
+    raft.log.erase(raft.log.begin(), raft.log.begin() + kept);
+    raft.snapshot = snapshot;
+    out.disk.snapshot = snapshot;
+    // The new log file starts from the snapshot, so the entries behind it are written again.
+    out.disk.append.assign(raft.log.begin(), raft.log.end());
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libnode/nodequeries.cpp
@@ -0,0 +1,587 @@
+#include "libnode/node.h"
+
+#include "libnode/nodeinternal.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Trefoil {
+
+using namespace NodeInternal;
+
+namespace {
+
+constexpr auto OperatorCallTimeout = std::chrono::seconds(10);
+constexpr auto InForcePollInterval = std::chrono::milliseconds(200);
+
+Cell integer(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::string join(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const std::string &word : words)
+        text += (text.empty() ? "" : " ") + word;
+    return text;
+}
+
+Row groupRow(const NodeState &node, const ServingGroup &group, const std::string &state)
+{
+    const Vm *first = findVm(node.feed.config, group.vms.front());
+    std::uint32_t running = 0;
+    const auto pool = node.dispatch.pools.find(group.deployment);
+    if (pool != node.dispatch.pools.end()) {
+        const auto target = pool->second.targets.find(std::to_string(group.id));
+        if (target != pool->second.targets.end())
+            running = target->second.inFlight;
+    }
+    return {integer(group.id),
+            group.deployment,
+            state,
+            group.version,
+            first ? first->fabric : std::string(),
+            first ? first->domain : std::string(),
+            group.dispatcher,
+            join(group.vms),
+            integer(running),
+            integer(first ? first->slots : 0)};
+}
+
+std::vector<Row> groupRows(const NodeState &node)
+{
+    std::vector<Row> rows;
+    for (const auto &[id, group] : node.feed.config.groups) {
+        const auto gate = node.gates.find(id);
+        if (group.dispatcher == node.settings.self.entry && gate != node.gates.end())
+            rows.push_back(groupRow(node, group, toString(gate->second)));
+    }
+    return rows;
+}
+
+Row vmRow(const NodeState &node, const Vm &vm, const std::string &state)
+{
+    const ServingGroup *group = groupOfVm(node.feed.config, vm.id);
+    return {vm.id,
+            std::string(toString(vm.role)),
+            vm.service,
+            state,
+            std::string(toString(vm.status)),
+            integer(group ? group->id : 0),
+            vm.domain,
+            vm.fabric,
+            integer(vm.accelerators)};
+}
+
+std::vector<Row> vmRows(const NodeState &node, TimePoint now)
+{
+    std::vector<Row> rows;
+    for (const auto &[id, report] : node.watch.reports) {
+        const Vm *vm = findVm(node.feed.config, id);
+        const bool recent = now - report.receivedAt <= node.settings.gate.heartbeatBound;
+        const bool current = vm && recent && report.incarnation == vm->incarnation;
+        // After a change of watcher the earlier one still holds a recent report.
+        if (current && watcherOf(node, id) == node.settings.self.entry)
+            rows.push_back(vmRow(node, *vm, toString(report.state)));
+    }
+    return rows;
+}
+
+std::vector<Row> workspaceRows(const NodeState &node)
+{
+    std::map<WorkspaceId, Row> byWorkspace;
+    const auto rowOf = [&](const WorkspaceId &id) -> Row & {
+        const auto known = node.feed.config.workspaces.find(id);
+        const double weight = known == node.feed.config.workspaces.end() ? 0 : known->second.weight;
+        return byWorkspace
+                .try_emplace(id, Row{id, weight, 0.0, integer(0), integer(0), integer(0),
+                                     integer(0), integer(0), DurationHistogram{}})
+                .first->second;
+    };
+    for (const auto &[id, workspace] : node.feed.config.workspaces)
+        rowOf(id);
+    for (const auto &[poolId, pool] : node.dispatch.pools) {
+        for (const auto &[id, queue] : pool.queue.workspaces) {
+            Row &row = rowOf(id);
+            row[2] = std::get<double>(row[2]) + queue.charged;
+            row[3] = std::get<std::int64_t>(row[3]) + static_cast<std::int64_t>(queue.queued);
+        }
+    }
+    for (const auto &[id, counters] : node.counters) {
+        Row &row = rowOf(id);
+        row[4] = integer(counters.done);
+        row[5] = integer(counters.notRun);
+        row[6] = integer(counters.unknown);
+        row[7] = integer(counters.failed);
+    }
+    for (const auto &[id, waits] : node.waits)
+        rowOf(id)[8] = waits;
+    std::vector<Row> rows;
+    for (auto &[id, row] : byWorkspace)
+        rows.push_back(std::move(row));
+    return rows;
+}
+
+std::vector<Row> deploymentRows(const NodeState &node)
+{
+    std::vector<Row> rows;
+    for (const auto &[id, d] : node.feed.config.deployments) {
+        const auto formed = std::count_if(
+                node.feed.config.groups.begin(), node.feed.config.groups.end(),
+                [&id = id](const auto &item) { return item.second.deployment == id; });
+        rows.push_back({id, d.model, d.version, d.placement, integer(d.groups),
+                        static_cast<std::int64_t>(formed), integer(d.vmsPerGroup)});
+    }
+    return rows;
+}
+
+const char *statusText(MemberStatus status)
+{
+    constexpr const char *Names[] = {"alive", "suspect", "dead", "left"};
+    return Names[static_cast<std::size_t>(status)];
+}
+
+std::vector<Row> entryRows(const NodeState &node)
+{
+    std::vector<Row> rows;
+    for (const Member &member : allMembers(node.membership)) {
+        const bool draining =
+                member.draining || node.feed.config.drainingEntries.contains(member.entry);
+        const auto version = node.peerVersions.find(member.entry);
+        ConfigVersion applied = version == node.peerVersions.end() ? 0 : version->second;
+        if (member.entry == node.settings.self.entry)
+            applied = node.feed.config.version;
+        rows.push_back({member.entry, std::string(statusText(member.status)), member.domain,
+                        member.callerAddress, std::string(draining ? "yes" : "no"),
+                        integer(applied)});
+    }
+    return rows;
+}
+
+std::vector<Row> seatRows(const NodeState &node)
+{
+    std::vector<Row> rows;
+    for (const Seat &seat : node.feed.config.seats) {
+        const bool leads =
+                node.seat ? node.seat->raft.leader == seat.id : node.client.leader == seat.entry;
+        rows.push_back({std::to_string(seat.id), seat.entry, std::string(seat.voter ? "yes" : "no"),
+                        std::string(leads ? "leader" : "follower")});
+    }
+    return rows;
+}
+
+std::vector<Row> versionRows(const NodeState &node, TimePoint now)
+{
+    const TimePoint since = confirmedSince(node.freshness, node.feed.config.seats);
+    const auto age = since == TimePoint{}
+                             ? std::chrono::milliseconds(-1)
+                             : std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+    return {{node.settings.self.entry, integer(node.feed.config.version),
+             static_cast<std::int64_t>(age.count())}};
+}
+
+std::vector<Row> downtimeRows(const NodeState &node)
+{
+    std::vector<Row> rows;
+    for (const auto &[id, account] : node.leader.downtime)
+        rows.push_back({id, account.downMinutes, account.strandedMinutes});
+    return rows;
+}
+
+std::vector<Row> localRows(const NodeState &node, const std::string &table, TimePoint now)
+{
+    if (table == "groups")
+        return groupRows(node);
+    if (table == "vms")
+        return vmRows(node, now);
+    if (table == "workspaces")
+        return workspaceRows(node);
+    if (table == "deployments")
+        return deploymentRows(node);
+    if (table == "entries")
+        return entryRows(node);
+    if (table == "seats")
+        return seatRows(node);
+    if (table == "versions")
+        return versionRows(node, now);
+    return downtimeRows(node);
+}
+
+// Rows of groups whose dispatcher did not answer and of VMs that report to nobody.
+std::vector<Row> unreportedRows(const NodeState &node, const std::string &table,
+                                const std::vector<Row> &reported)
+{
+    std::set<std::string> seen;
+    for (const Row &row : reported)
+        seen.insert(toText(row[0]));
+    std::vector<Row> rows;
+    if (table == "groups") {
+        for (const auto &[id, group] : node.feed.config.groups) {
+            if (!seen.contains(std::to_string(id)))
+                rows.push_back(groupRow(node, group, "unreachable"));
+        }
+    }
+    if (table == "vms") {
+        for (const auto &[id, vm] : node.feed.config.vms) {
+            if (!seen.contains(id))
+                rows.push_back(vmRow(node, vm, "silent"));
+        }
+    }
+    return rows;
+}
+
+// Groups and VMs that nobody reported are only known once all rows are in, so the filter of these
+// two tables runs at the asked entry too.
+bool needsUnreported(const std::string &table)
+{
+    return table == "groups" || table == "vms";
+}
+
+ShowQuery partialQuery(const ShowQuery &query)
+{
+    ShowQuery partial = query;
+    if (needsUnreported(query.table)) {
+        partial.where.clear();
+        partial.by.clear();
+    }
+    return partial;
+}
+
+void finishShow(NodeState &node, PendingQuery &pending, NodeOutput &out)
+{
+    OperatorReply reply;
+    reply.session = pending.session;
+    reply.isOk = true;
+    reply.table = pending.query.table;
+    reply.version = node.feed.config.version;
+    reply.missing.assign(pending.waiting.begin(), pending.waiting.end());
+    std::vector<Row> rows = std::move(pending.rows);
+    if (needsUnreported(pending.query.table)) {
+        for (Row &row : unreportedRows(node, pending.query.table, rows))
+            rows.push_back(std::move(row));
+        rows = evaluateQuery(pending.query, rows);
+    }
+    reply.rows = mergePartials(pending.query, std::move(rows));
+    out.operatorReplies.push_back(std::move(reply));
+}
+
+std::vector<EntryId> laggingEntries(const PendingQuery &pending)
+{
+    std::vector<EntryId> lagging(pending.waiting.begin(), pending.waiting.end());
+    for (const Row &row : pending.rows) {
+        if (std::get<std::int64_t>(row[1]) < static_cast<std::int64_t>(pending.wantedVersion))
+            lagging.push_back(toText(row[0]));
+    }
+    return lagging;
+}
+
+void startQuery(NodeState &node, PendingQuery pending, TimePoint now, NodeOutput &out)
+{
+    const std::uint64_t id = node.nextQuery++;
+    pending.deadline = now + node.settings.queryTimeout;
+    const ShowQuery partial = partialQuery(pending.query);
+    pending.rows = evaluateQuery(partial, localRows(node, pending.query.table, now));
+    for (const auto &[entry, member] : node.membership.members) {
+        if (member.info.status > MemberStatus::Suspect)
+            continue;
+        pending.waiting.insert(entry);
+        out.peers.emplace_back(entry, QueryCall{id, partial});
+    }
+    node.queries.emplace(id, std::move(pending));
+}
+
+// Ends a query whose rows are in or whose time is up. Returns false while it must go on.
+bool finishQuery(NodeState &node, PendingQuery &pending, TimePoint now, NodeOutput &out)
+{
+    if (pending.wantedVersion == 0) {
+        finishShow(node, pending, out);
+        return true;
+    }
+    const std::vector<EntryId> lagging = laggingEntries(pending);
+    if (lagging.empty() || now >= pending.waitUntil) {
+        pending.reply.inForce = lagging.empty();
+        pending.reply.missing = lagging;
+        out.operatorReplies.push_back(std::move(pending.reply));
+        return true;
+    }
+    return false;
+}
+
+void answerError(const OperatorRequest &request, const std::string &code,
+                 const std::string &message, std::size_t column, NodeOutput &out)
+{
+    OperatorReply reply;
+    reply.session = request.session;
+    reply.code = code;
+    reply.message = message;
+    reply.column = column;
+    out.operatorReplies.push_back(std::move(reply));
+}
+
+std::string explainGroup(const NodeState &node, GroupId id, TimePoint now)
+{
+    const Configuration &config = node.feed.config;
+    const auto found = config.groups.find(id);
+    if (found == config.groups.end())
+        return "There is no group " + std::to_string(id)
+               + "; it was ended, or the number is of another kind.\n";
+    const ServingGroup &group = found->second;
+    std::string text = "Group " + std::to_string(id) + " serves deployment " + group.deployment
+                       + " version " + group.version + ".\n";
+    text += "Its dispatcher is entry " + group.dispatcher + " since configuration version "
+            + std::to_string(group.dispatcherSince) + ".\n";
+    if (group.dispatcher != node.settings.self.entry)
+        return text + "Ask entry " + group.dispatcher + " for the state of its gate.\n";
+    const auto gate = node.gates.find(id);
+    if (gate != node.gates.end())
+        text += std::string("Its gate is ") + toString(gate->second) + ".\n";
+    for (const VmId &vm : group.vms) {
+        const auto report = node.watch.reports.find(vm);
+        if (report == node.watch.reports.end()) {
+            text += "VM " + vm + " does not report to this entry.\n";
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - report->second.receivedAt);
+        text += "VM " + vm + " reported " + std::to_string(age.count())
+                + " ms ago: " + toString(report->second.state) + " for group "
+                + std::to_string(report->second.group) + ".\n";
+    }
+    const TimePoint handover = handoverEnd(node.handover, group);
+    if (now < handover) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(handover - now);
+        text += "It waits " + std::to_string(left.count())
+                + " ms for an earlier dispatcher to stop.\n";
+    }
+    return text;
+}
+
+// Handles each kind of statement.
+struct StatementVisitor
+{
+    NodeState &node;
+    const OperatorRequest &request;
+    TimePoint now;
+    NodeOutput &out;
+
+    void operator()(const ShowQuery &query) const
+    {
+        PendingQuery pending;
+        pending.session = request.session;
+        pending.query = query;
+        if (findTable(query.table)->isDistributed) {
+            startQuery(node, std::move(pending), now, out);
+            return;
+        }
+        pending.rows = evaluateQuery(query, localRows(node, query.table, now));
+        finishShow(node, pending, out);
+    }
+
+    void operator()(const ExplainGroup &explain) const
+    {
+        answerText(explainGroup(node, explain.group, now));
+    }
+
+    void operator()(const Help &) const { answerText(helpText()); }
+
+    void operator()(const Command &command) const
+    {
+        const auto *deployment = std::get_if<SetDeployment>(&command);
+        if (deployment && deployment->placement
+            && !PlacementPolicies::find(*deployment->placement)) {
+            answerError(request, "invalid",
+                        "unknown placement policy '" + *deployment->placement
+                                + "'; known: " + join(PlacementPolicies::names()),
+                        0, out);
+            return;
+        }
+        ControlCall call = makeCall();
+        call.message.proposal.command = command;
+        call.message.proposal.identity = {request.operatorName, request.number,
+                                          XXH3_64bits(request.text.data(), request.text.size())};
+        call.message.proposal.expectedVersion = request.expectedVersion;
+        call.message.proposal.wallTimeMs = request.wallTimeMs;
+        startControlCall(node, std::move(call), now, out);
+    }
+
+    void operator()(const AddSeat &add) const
+    {
+        ControlCall call = makeCall();
+        call.message.addSeat = add.entry;
+        if (add.entry == node.settings.self.entry) {
+            receiveOwnSeat(std::move(call));
+            return;
+        }
+        if (!isReachable(node.membership, add.entry)) {
+            answerError(request, "not-found", "entry '" + add.entry + "' is not a member", 0, out);
+            return;
+        }
+        const std::uint64_t id = node.nextQuery++;
+        node.seatAdds[id] = {std::move(call), add.entry};
+        out.peers.emplace_back(add.entry, SeatQuery{id});
+    }
+
+    void operator()(const RemoveSeat &remove) const
+    {
+        ControlCall call = makeCall();
+        call.message.removeSeat = remove.seat;
+        startControlCall(node, std::move(call), now, out);
+    }
+
+private:
+    ControlCall makeCall() const
+    {
+        ControlCall call;
+        call.purpose = CallPurpose::Operator;
+        call.subject = request.session;
+        call.deadline = now + OperatorCallTimeout;
+        if (request.waitInForce > Duration{})
+            node.waitInForce[request.session] = now + request.waitInForce;
+        return call;
+    }
+
+    void receiveOwnSeat(ControlCall call) const
+    {
+        if (!node.seat) {
+            answerError(request, "invalid", "the entry has no data folder for a seat", 0, out);
+            return;
+        }
+        call.message.proposal.identity.digest = node.seat->raft.self;
+        startControlCall(node, std::move(call), now, out);
+    }
+
+    void answerText(std::string text) const
+    {
+        OperatorReply reply;
+        reply.session = request.session;
+        reply.isOk = true;
+        reply.text = std::move(text);
+        out.operatorReplies.push_back(std::move(reply));
+    }
+};
+
+} // namespace
+
+void nodeOperator(NodeState &node, const OperatorRequest &request, TimePoint now, NodeOutput &out)
+{
+    try {
+        const Statement statement = parseStatement(request.text);
+        if (isChange(statement) && request.operatorName.empty()) {
+            answerError(request, "invalid", "a change needs the name of its operator", 0, out);
+            return;
+        }
+        std::visit(StatementVisitor{node, request, now, out}, statement);
+    } catch (const LanguageError &error) {
+        answerError(request, "syntax", error.what(), error.column(), out);
+    }
+}
+
+namespace NodeInternal {
+
+void operatorCallFinished(NodeState &node, const ControlCall &call, const CommandReply *reply,
+                          TimePoint now, NodeOutput &out)
+{
+    OperatorReply answer;
+    answer.session = call.subject;
+    const auto wait = node.waitInForce.find(call.subject);
+    const TimePoint waitUntil = wait == node.waitInForce.end() ? TimePoint{} : wait->second;
+    if (wait != node.waitInForce.end())
+        node.waitInForce.erase(wait);
+    if (!reply) {
+        answer.code = "timeout";
+        answer.message = "the control state did not answer; send the command again with the "
+                         "same number to learn its outcome";
+        out.operatorReplies.push_back(std::move(answer));
+        return;
+    }
+    answer.isOk = reply->isAccepted();
+    answer.code = toString(reply->code);
+    answer.message = reply->message;
+    answer.version = reply->version;
+    if (!answer.isOk || waitUntil == TimePoint{}) {
+        out.operatorReplies.push_back(std::move(answer));
+        return;
+    }
+    PendingQuery pending;
+    pending.session = call.subject;
+    pending.query.table = "versions";
+    pending.wantedVersion = reply->version;
+    pending.waitUntil = waitUntil;
+    pending.reply = std::move(answer);
+    startQuery(node, std::move(pending), now, out);
+}
+
+void receiveSeatReply(NodeState &node, const EntryId &from, const SeatReply &reply, TimePoint now,
+                      NodeOutput &out)
+{
+    const auto found = node.seatAdds.find(reply.call);
+    if (found == node.seatAdds.end() || found->second.entry != from)
+        return;
+    ControlCall call = std::move(found->second.call);
+    node.seatAdds.erase(found);
+    if (reply.seat == NoSeat) {
+        CommandReply refused;
+        refused.code = ReplyCode::Invalid;
+        refused.message = "the entry has no data folder for a seat";
+        operatorCallFinished(node, call, &refused, now, out);
+        return;
+    }
+    call.message.proposal.identity.digest = reply.seat;
+    startControlCall(node, std::move(call), now, out);
+}
+
+void receiveQuery(NodeState &node, const EntryId &from, const QueryCall &call, TimePoint now,
+                  NodeOutput &out)
+{
+    QueryReply reply;
+    reply.call = call.call;
+    reply.rows = evaluateQuery(call.query, localRows(node, call.query.table, now));
+    out.peers.emplace_back(from, std::move(reply));
+}
+
+void receiveQueryReply(NodeState &node, const EntryId &from, const QueryReply &reply, TimePoint now,
+                       NodeOutput &out)
+{
+    const auto found = node.queries.find(reply.call);
+    if (found == node.queries.end() || found->second.waiting.erase(from) == 0)
+        return;
+    PendingQuery &pending = found->second;
+    pending.rows.insert(pending.rows.end(), reply.rows.begin(), reply.rows.end());
+    if (pending.waiting.empty() && finishQuery(node, pending, now, out))
+        node.queries.erase(found);
+}
+
+void queriesTick(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    std::vector<std::uint64_t> due;
+    for (const auto &[id, pending] : node.queries) {
+        const bool polls =
+                pending.wantedVersion > 0
+                && now >= pending.deadline - node.settings.queryTimeout + InForcePollInterval;
+        if (now >= pending.deadline || (polls && pending.waiting.empty()))
+            due.push_back(id);
+    }
+    for (std::uint64_t id : due) {
+        PendingQuery pending = std::move(node.queries.at(id));
+        node.queries.erase(id);
+        if (finishQuery(node, pending, now, out))
+            continue;
+        pending.waiting.clear();
+        startQuery(node, std::move(pending), now, out);
+    }
+    std::vector<std::uint64_t> overdue;
+    for (const auto &[id, add] : node.seatAdds) {
+        if (now >= add.call.deadline)
+            overdue.push_back(id);
+    }
+    for (std::uint64_t id : overdue) {
+        operatorCallFinished(node, node.seatAdds.at(id).call, nullptr, now, out);
+        node.seatAdds.erase(id);
+    }
+}
+
+} // namespace NodeInternal
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libnode/noderequests.cpp
@@ -0,0 +1,351 @@
+#include "libnode/node.h"
+
+#include "libnode/nodeinternal.h"
+
+#include <algorithm>
+
+namespace Trefoil {
+
+using namespace NodeInternal;
+
+namespace {
+
+constexpr auto TargetInterval = std::chrono::milliseconds(50);
+const std::string ServicePrefix = "service/";
+
+RequestFinish refusalOf(Reason reason, Duration retryAfter)
+{
+    RequestFinish finish;
+    finish.outcome = Outcome::NotRun;
+    finish.reason = reason;
+    finish.retryAfter = retryAfter;
+    return finish;
+}
+
+void countOutcome(NodeState &node, const WorkspaceId &workspace, Outcome outcome)
+{
+    WorkspaceCounters &counters = node.counters[workspace];
+    switch (outcome) {
+    case Outcome::Done:
+        ++counters.done;
+        break;
+    case Outcome::NotRun:
+        ++counters.notRun;
+        break;
+    case Outcome::Unknown:
+        ++counters.unknown;
+        break;
+    case Outcome::Failed:
+        ++counters.failed;
+        break;
+    }
+}
+
+bool hasServiceVm(const Configuration &config, const std::string &pool)
+{
+    return std::any_of(config.vms.begin(), config.vms.end(), [&](const auto &item) {
+        return item.second.role == VmRole::Service && ServicePrefix + item.second.service == pool;
+    });
+}
+
+Reason refusalReason(const NodeState &node, const DispatchRequest &request, TimePoint now)
+{
+    if (isRefusing(node, now))
+        return Reason::Draining;
+    if (!isServing(node, now))
+        return Reason::Stale;
+    const Configuration &config = node.feed.config;
+    if (node.settings.requireKnownWorkspace && !config.workspaces.contains(request.workspace))
+        return Reason::UnknownWorkspace;
+    const bool known = request.isService ? hasServiceVm(config, request.pool)
+                                         : config.deployments.contains(request.pool);
+    return known ? Reason::None : Reason::UnknownTarget;
+}
+
+void sendDispatch(NodeState &node, Dispatch dispatch, TimePoint now, NodeOutput &out)
+{
+    if (dispatch.to == node.settings.self.entry) {
+        DispatchOutput dispatchOut;
+        submit(node.dispatch, std::move(dispatch.request), now, dispatchOut);
+        takeDispatchOutput(node, dispatchOut, now, out);
+        return;
+    }
+    const auto remaining =
+            std::chrono::duration_cast<std::chrono::milliseconds>(dispatch.request.deadline - now);
+    DispatchCall call;
+    call.request = std::move(dispatch.request);
+    call.remainingMs = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0));
+    out.peers.emplace_back(dispatch.to, std::move(call));
+}
+
+void sendCancel(NodeState &node, const DispatchCancel &request, TimePoint now, NodeOutput &out)
+{
+    if (request.to != node.settings.self.entry) {
+        out.peers.emplace_back(request.to, DispatchCancelCall{request.id});
+        return;
+    }
+    DispatchOutput dispatchOut;
+    cancel(node.dispatch, request.id, now, dispatchOut);
+    takeDispatchOutput(node, dispatchOut, now, out);
+}
+
+void answerSession(NodeState &node, RequestFinish finish, NodeOutput &out)
+{
+    const auto found = node.sessions.find(finish.id.number);
+    if (found == node.sessions.end())
+        return;
+    out.answers.push_back({found->second, std::move(finish)});
+    node.sessions.erase(found);
+}
+
+bool isLeaving(const NodeState &node, const Vm &vm)
+{
+    const auto found = node.watch.leaving.find(vm.id);
+    return found != node.watch.leaving.end() && found->second == vm.incarnation;
+}
+
+using PoolTargets = std::map<std::string, std::vector<TargetFacts>>;
+
+void noteGate(NodeState &node, const ServingGroup &group, GateStatus status, NodeOutput &out)
+{
+    const auto [found, added] = node.gates.try_emplace(group.id, status);
+    if (!added && found->second == status)
+        return;
+    found->second = status;
+    addEvent(out, NodeEventKind::GateChanged, std::to_string(group.id), toString(status));
+}
+
+bool runsHere(const NodeState &node, const std::string &pool, const std::string &target)
+{
+    const auto found = node.dispatch.pools.find(pool);
+    if (found == node.dispatch.pools.end())
+        return false;
+    const auto known = found->second.targets.find(target);
+    return known != found->second.targets.end() && known->second.inFlight > 0;
+}
+
+// Targets of the groups that this entry dispatches, and of groups that it handed over while they
+// still run its requests.
+void addGroupTargets(NodeState &node, bool fresh, TimePoint now, PoolTargets &targets,
+                     NodeOutput &out)
+{
+    const Configuration &config = node.feed.config;
+    const EntryId &self = node.settings.self.entry;
+    for (const auto &[id, group] : config.groups) {
+        const bool own = group.dispatcher == self;
+        if (!own && !runsHere(node, group.deployment, std::to_string(id)))
+            continue;
+        const GateInput input{config, node.watch.reports, self, fresh,
+                              handoverEnd(node.handover, group)};
+        GateStatus status = gateStatus(group, input, node.settings.gate, now);
+        const Vm *head = findVm(config, group.vms.front());
+        if (!head)
+            continue;
+        const bool leaving = std::any_of(group.vms.begin(), group.vms.end(), [&](const VmId &vm) {
+            const Vm *known = findVm(config, vm);
+            return known && isLeaving(node, *known);
+        });
+        if (status == GateStatus::Open && leaving)
+            status = GateStatus::Draining;
+        if (own)
+            noteGate(node, group, status, out);
+        targets[group.deployment].push_back({std::to_string(id), head->address, id,
+                                             head->incarnation, head->slots,
+                                             status == GateStatus::Open});
+    }
+    std::erase_if(node.gates, [&](const auto &item) {
+        const auto group = config.groups.find(item.first);
+        return group == config.groups.end() || group->second.dispatcher != self;
+    });
+}
+
+void addServiceTargets(const NodeState &node, bool fresh, PoolTargets &targets)
+{
+    for (const auto &[id, vm] : node.feed.config.vms) {
+        if (vm.role != VmRole::Service)
+            continue;
+        const std::string pool = ServicePrefix + vm.service;
+        const bool open = fresh && vm.status == VmStatus::Active && !isLeaving(node, vm);
+        if (open || runsHere(node, pool, id))
+            targets[pool].push_back({id, vm.address, 0, vm.incarnation, vm.slots, open});
+    }
+}
+
+void updateDispatchers(NodeState &node)
+{
+    std::map<std::string, std::map<EntryId, std::uint32_t>> slots;
+    for (const auto &[id, group] : node.feed.config.groups) {
+        const Vm *head = findVm(node.feed.config, group.vms.front());
+        if (group.status == GroupStatus::Active && head
+            && isReachable(node.membership, group.dispatcher))
+            slots[group.deployment][group.dispatcher] += head->slots;
+    }
+    node.origin.dispatchers.clear();
+    for (const auto &[deployment, entries] : slots) {
+        for (const auto &[entry, count] : entries)
+            node.origin.dispatchers[deployment].push_back({entry, count});
+    }
+}
+
+void updateWeights(NodeState &node)
+{
+    for (auto &[id, pool] : node.dispatch.pools) {
+        for (const auto &[workspace, facts] : node.feed.config.workspaces)
+            setWorkspaceWeight(pool.queue, workspace, facts.weight);
+    }
+}
+
+// Tells the other dispatchers of a deployment what each workspace got here.
+void sendDigests(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    if (now < node.nextDigest)
+        return;
+    node.nextDigest = now + node.settings.digestInterval;
+    std::map<EntryId, WorkDigest> digests;
+    for (auto &[poolId, pool] : node.dispatch.pools) {
+        const auto dispatchers = node.origin.dispatchers.find(poolId);
+        if (dispatchers == node.origin.dispatchers.end())
+            continue;
+        for (const auto &[workspace, queue] : pool.queue.workspaces) {
+            double &told = node.digested[poolId][workspace];
+            const double work = queue.charged - told;
+            if (work == 0)
+                continue;
+            told = queue.charged;
+            for (const DispatcherCandidate &other : dispatchers->second) {
+                if (other.entry != node.settings.self.entry)
+                    digests[other.entry].items.push_back({poolId, workspace, work});
+            }
+        }
+    }
+    for (auto &[entry, digest] : digests)
+        out.peers.emplace_back(entry, std::move(digest));
+}
+
+} // namespace
+
+void nodeSubmit(NodeState &node, SubmitRequest submitted, TimePoint now, NodeOutput &out)
+{
+    const Reason reason = refusalReason(node, submitted.request, now);
+    if (reason != Reason::None) {
+        countOutcome(node, submitted.request.workspace, Outcome::NotRun);
+        const Duration after = node.settings.origin.noDispatcherRetryAfter;
+        out.answers.push_back({submitted.session, refusalOf(reason, after)});
+        return;
+    }
+    OriginOutput originOut;
+    const WorkspaceId workspace = submitted.request.workspace;
+    const RequestId id = originSubmit(node.origin, std::move(submitted.request),
+                                      std::move(submitted.key), submitted.digest, now, originOut);
+    node.sessions[id.number] = submitted.session;
+    node.requestWorkspaces[id.number] = workspace;
+    out.admitted.emplace_back(submitted.session, id);
+    takeOriginOutput(node, originOut, now, out);
+}
+
+void nodeCallerGone(NodeState &node, const RequestId &id, TimePoint now, NodeOutput &out)
+{
+    OriginOutput originOut;
+    originCallerGone(node.origin, id, now, originOut);
+    takeOriginOutput(node, originOut, now, out);
+}
+
+void nodeAttemptEnd(NodeState &node, const AttemptEnd &end, TimePoint now, NodeOutput &out)
+{
+    DispatchOutput dispatchOut;
+    attemptEnded(node.dispatch, end, now, dispatchOut);
+    takeDispatchOutput(node, dispatchOut, now, out);
+}
+
+void nodeProgress(NodeState &node, const RequestId &id, std::uint64_t generatedTokens)
+{
+    addProgress(node.dispatch, id, generatedTokens);
+}
+
+namespace NodeInternal {
+
+void takeOriginOutput(NodeState &node, OriginOutput &originOut, TimePoint now, NodeOutput &out)
+{
+    for (Dispatch &dispatch : originOut.dispatch)
+        sendDispatch(node, std::move(dispatch), now, out);
+    for (const DispatchCancel &request : originOut.cancel)
+        sendCancel(node, request, now, out);
+    std::map<EntryId, DispatchCheck> checks;
+    for (const AttemptCheck &check : originOut.checks)
+        checks[check.at].attempts.push_back(check.attempt);
+    for (auto &[entry, check] : checks) {
+        const auto process = node.peerProcesses.find(entry);
+        if (process == node.peerProcesses.end())
+            continue;
+        check.process = process->second;
+        out.peers.emplace_back(entry, std::move(check));
+    }
+    for (KeyCommand &command : originOut.keyCommands)
+        callControl(node, std::move(command.command), CallPurpose::Key, command.number,
+                    node.settings.origin.keyRetryInterval, now, out);
+    for (RequestFinish &finish : originOut.finish) {
+        const auto workspace = node.requestWorkspaces.find(finish.id.number);
+        if (workspace != node.requestWorkspaces.end()) {
+            countOutcome(node, workspace->second, finish.outcome);
+            node.requestWorkspaces.erase(workspace);
+        }
+        answerSession(node, std::move(finish), out);
+    }
+}
+
+void takeDispatchOutput(NodeState &node, DispatchOutput &dispatchOut, TimePoint now,
+                        NodeOutput &out)
+{
+    std::move(dispatchOut.start.begin(), dispatchOut.start.end(), std::back_inserter(out.start));
+    std::move(dispatchOut.cancel.begin(), dispatchOut.cancel.end(),
+              std::back_inserter(out.cancelAttempts));
+    for (AttemptReport &report : dispatchOut.reports) {
+        if (report.id.entry != node.settings.self.entry) {
+            rememberReports(node.dispatch, std::span(&report, 1));
+            const EntryId origin = report.id.entry;
+            out.peers.emplace_back(origin, AttemptReportCall{std::move(report)});
+            continue;
+        }
+        OriginOutput originOut;
+        originReport(node.origin, report, now, originOut);
+        takeOriginOutput(node, originOut, now, out);
+    }
+}
+
+void updateTargets(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    node.nextTargets = now + TargetInterval;
+    const bool fresh =
+            isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now);
+    PoolTargets targets;
+    addGroupTargets(node, fresh, now, targets, out);
+    addServiceTargets(node, fresh, targets);
+    for (const auto &[pool, state] : node.dispatch.pools)
+        targets.try_emplace(pool);
+    DispatchOutput dispatchOut;
+    for (const auto &[pool, facts] : targets) {
+        setTargets(node.dispatch, pool, pool.starts_with(ServicePrefix), facts, now, dispatchOut);
+        if (!fresh)
+            refuseWaiting(node.dispatch, pool, Reason::NoCapacity, dispatchOut);
+    }
+    updateWeights(node);
+    updateDispatchers(node);
+    takeDispatchOutput(node, dispatchOut, now, out);
+}
+
+void requestsTick(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    if (now >= node.nextTargets)
+        updateTargets(node, now, out);
+    DispatchOutput dispatchOut;
+    dispatchTick(node.dispatch, now, dispatchOut);
+    takeDispatchOutput(node, dispatchOut, now, out);
+    OriginOutput originOut;
+    originTick(node.origin, now, originOut);
+    takeOriginOutput(node, originOut, now, out);
+    sendDigests(node, now, out);
+}
+
+} // namespace NodeInternal
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libnode/nodevms.cpp
@@ -0,0 +1,487 @@
+#include "libnode/node.h"
+
+#include "libnode/nodeinternal.h"
+
+#include <algorithm>
+
+namespace Trefoil {
+
+using namespace NodeInternal;
+
+namespace {
+
+// Longest transit of a request that an earlier dispatcher sent before it stopped.
+constexpr auto IdleReportDelay = std::chrono::milliseconds(500);
+
+// Sends a message to every seat, the own one included.
+template <class Message>
+void sendToSeats(NodeState &node, const Message &message, TimePoint now, NodeOutput &out)
+{
+    std::set<EntryId> entries;
+    for (const Seat &seat : node.feed.config.seats)
+        entries.insert(seat.entry);
+    for (const EntryId &entry : entries) {
+        if (entry == node.settings.self.entry)
+            nodePeerMessage(node, entry, message, now, out);
+        else
+            out.peers.emplace_back(entry, message);
+    }
+}
+
+bool sameFacts(const VmReport &a, const VmReport &b)
+{
+    return a.incarnation == b.incarnation && a.group == b.group && a.state == b.state
+           && a.heldWeights == b.heldWeights;
+}
+
+void findSilentVms(NodeState &node, TimePoint now, WatchReport &report, NodeOutput &out)
+{
+    for (const auto &[id, known] : node.watch.reports) {
+        const bool silent = now - known.receivedAt > node.settings.gate.heartbeatBound;
+        if (!silent || !node.watch.lastSent.contains(id))
+            continue;
+        node.watch.lastSent.erase(id);
+        node.watch.silent.insert(id);
+        report.silent.push_back(id);
+        addEvent(out, NodeEventKind::VmSilent, id, {});
+    }
+}
+
+void addChangedReports(NodeState &node, bool everything, TimePoint now, WatchReport &report)
+{
+    for (const auto &[id, known] : node.watch.reports) {
+        if (now - known.receivedAt > node.settings.gate.heartbeatBound)
+            continue;
+        const auto sent = node.watch.lastSent.find(id);
+        const bool changed = sent == node.watch.lastSent.end() || !sameFacts(sent->second, known);
+        if (!changed && !everything)
+            continue;
+        node.watch.lastSent[id] = known;
+        node.watch.silent.erase(id);
+        report.reports.push_back(known);
+    }
+}
+
+// A draining group is idle once this entry runs nothing on it and its engine reported that it runs
+// nothing for an earlier dispatcher either.
+bool isIdle(const NodeState &node, const ServingGroup &group)
+{
+    const auto pool = node.dispatch.pools.find(group.deployment);
+    if (pool != node.dispatch.pools.end()) {
+        const auto target = pool->second.targets.find(std::to_string(group.id));
+        if (target != pool->second.targets.end() && target->second.inFlight > 0)
+            return false;
+    }
+    const auto head = node.watch.reports.find(group.vms.front());
+    if (head == node.watch.reports.end())
+        return false;
+    const TimePoint settled = handoverEnd(node.handover, group) + IdleReportDelay;
+    return head->second.inFlight == 0 && head->second.receivedAt >= settled;
+}
+
+void addIdleGroups(const NodeState &node, WatchReport &report)
+{
+    for (const auto &[id, group] : node.feed.config.groups) {
+        const bool mine = group.dispatcher == node.settings.self.entry;
+        if (mine && group.status == GroupStatus::Draining && isIdle(node, group))
+            report.idleGroups.push_back(id);
+    }
+}
+
+void sendWatchReport(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    const bool everything = now >= node.watch.nextRefresh;
+    if (everything)
+        node.watch.nextRefresh = now + node.settings.watchRefresh;
+    WatchReport report;
+    findSilentVms(node, now, report, out);
+    addChangedReports(node, everything, now, report);
+    addIdleGroups(node, report);
+    if (!report.reports.empty() || !report.silent.empty() || !report.idleGroups.empty())
+        sendToSeats(node, report, now, out);
+}
+
+EngineOrder makeOrder(const Configuration &config, const ServingGroup &group, std::size_t rank)
+{
+    EngineOrder order;
+    order.vm = group.vms[rank];
+    order.address = config.vms.at(order.vm).address;
+    order.group = group.id;
+    order.rank = static_cast<std::uint32_t>(rank);
+    for (const VmId &vm : group.vms)
+        order.members.push_back(config.vms.at(vm).address);
+    const auto deployment = config.deployments.find(group.deployment);
+    order.model = deployment == config.deployments.end() ? std::string() : deployment->second.model;
+    order.version = group.version;
+    return order;
+}
+
+// One outstanding order for each VM. An order without an answer is repeated with the same number
+// once its deadline has passed; the gate follows what the engine reports, not what was ordered.
+void orderVm(NodeState &node, const ServingGroup &group, std::size_t rank, TimePoint now,
+             NodeOutput &out)
+{
+    const VmId &vm = group.vms[rank];
+    const auto report = node.watch.reports.find(vm);
+    if (report == node.watch.reports.end() || report->second.group == group.id)
+        return;
+    const auto outstanding = node.watch.orders.find(vm);
+    if (outstanding != node.watch.orders.end() && now < outstanding->second.deadline)
+        return;
+    if (now < node.watch.nextOrder[vm])
+        return;
+    node.watch.orders[vm] = {group.id, now + node.settings.orderTimeout};
+    node.watch.nextOrder[vm] = now + node.settings.orderRetry;
+    out.orders.push_back(makeOrder(node.feed.config, group, rank));
+}
+
+void sendOrders(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    const Configuration &config = node.feed.config;
+    const bool fresh = isFresh(node.freshness, config.seats, node.settings.freshnessBound, now);
+    for (const auto &[id, group] : config.groups) {
+        const bool mine =
+                group.dispatcher == node.settings.self.entry && group.status == GroupStatus::Active;
+        if (!mine || !fresh
+            || !areVmsPresent(group, config, node.watch.reports, node.settings.gate, now))
+            continue;
+        // Orders of an earlier dispatcher may still be under way until the handover ends.
+        if (now < handoverEnd(node.handover, group))
+            continue;
+        for (std::size_t rank = 0; rank < group.vms.size(); ++rank)
+            orderVm(node, group, rank, now, out);
+    }
+}
+
+VmPresence &presenceOf(NodeState &node, const VmId &vm, TimePoint now)
+{
+    const auto [found, added] = node.watch.presence.try_emplace(vm);
+    if (added)
+        found->second.changedAt = now;
+    return found->second;
+}
+
+void setAbsent(NodeState &node, const VmId &vm, TimePoint now)
+{
+    VmPresence &presence = presenceOf(node, vm, now);
+    if (!presence.isPresent)
+        return;
+    presence.isPresent = false;
+    presence.changedAt = now;
+    presence.losses.push_back(now);
+    const TimePoint oldest = now - node.settings.planner.flappingWindow;
+    std::erase_if(presence.losses, [oldest](TimePoint at) { return at < oldest; });
+}
+
+void noteEntries(NodeState &node, TimePoint now)
+{
+    std::set<EntryId> seen;
+    for (const Member &member : allMembers(node.membership)) {
+        seen.insert(member.entry);
+        const bool reachable = member.status <= MemberStatus::Suspect && !member.draining;
+        const auto [found, added] = node.leader.entries.try_emplace(member.entry);
+        EntryPresence &presence = found->second;
+        if (added || presence.isReachable != reachable)
+            presence.changedAt = now;
+        presence.entry = member.entry;
+        presence.domain = member.domain;
+        presence.isReachable = reachable;
+    }
+    std::erase_if(node.leader.entries,
+                  [&seen](const auto &item) { return !seen.contains(item.first); });
+}
+
+bool isServingGroup(const NodeState &node, const ServingGroup &group)
+{
+    return std::all_of(group.vms.begin(), group.vms.end(), [&](const VmId &vm) {
+        const auto found = node.watch.presence.find(vm);
+        return found != node.watch.presence.end() && found->second.isPresent
+               && found->second.group == group.id && found->second.state == EngineState::Ready;
+    });
+}
+
+// Adds the time since the last account to the group downtime and stranded accelerators.
+void accountDowntime(NodeState &node, TimePoint now)
+{
+    using Minutes = std::chrono::duration<double, std::ratio<60>>;
+    const double minutes = Minutes(now - node.leader.accountedAt).count();
+    node.leader.accountedAt = now;
+    const Configuration &config = node.feed.config;
+    std::map<DeploymentId, std::uint32_t> serving;
+    std::set<VmId> useful;
+    for (const auto &[id, group] : config.groups) {
+        if (!isServingGroup(node, group))
+            continue;
+        ++serving[group.deployment];
+        useful.insert(group.vms.begin(), group.vms.end());
+    }
+    for (const auto &[id, deployment] : config.deployments) {
+        const std::uint32_t up = std::min(serving[id], deployment.groups);
+        node.leader.downtime[id].downMinutes += minutes * (deployment.groups - up);
+    }
+    for (const auto &[id, vm] : config.vms) {
+        const auto presence = node.watch.presence.find(id);
+        const bool present = presence != node.watch.presence.end() && presence->second.isPresent;
+        if (vm.role == VmRole::Engine && present && !useful.contains(id))
+            node.leader.downtime[{}].strandedMinutes += minutes * vm.accelerators;
+    }
+}
+
+void proposeAsLeader(NodeState &node, const Command &command, TimePoint now, NodeOutput &out)
+{
+    Proposal proposal;
+    proposal.command = command;
+    ControlSeatOutput seatOut;
+    const auto ticket = seatPropose(*node.seat, proposal, now, seatOut);
+    if (ticket)
+        node.leader.plannedTickets.insert(*ticket);
+    takeSeatOutput(node, seatOut, now, out);
+}
+
+// Marks the keys of processes that are gone as unknown: entries that are dead, and earlier
+// processes of entries that came back.
+void abandonKeys(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    std::map<EntryId, std::uint64_t> gone;
+    for (const auto &[key, record] : node.seat->control.keys) {
+        if (record.result.outcome != KeyOutcome::Running)
+            continue;
+        const KeyOwner &owner = record.result.owner;
+        if (owner.entry == node.settings.self.entry) {
+            if (owner.incarnation < node.settings.incarnation)
+                gone[owner.entry] = node.settings.incarnation;
+            continue;
+        }
+        const auto member = node.membership.members.find(owner.entry);
+        if (member == node.membership.members.end())
+            continue;
+        const Member &info = member->second.info;
+        if (info.status >= MemberStatus::Dead)
+            gone[owner.entry] = UINT64_MAX;
+        else if (info.status == MemberStatus::Alive && info.process > owner.incarnation)
+            gone[owner.entry] = std::max(gone[owner.entry], info.process);
+    }
+    for (const auto &[entry, below] : gone)
+        proposeAsLeader(node, AbandonKeys{entry, below}, now, out);
+}
+
+void startLeading(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    node.leader = LeaderState{};
+    node.leader.isActing = true;
+    node.leader.actingSince = now;
+    node.leader.accountedAt = now;
+    addEvent(out, NodeEventKind::BecameLeader, node.settings.self.entry,
+             std::to_string(node.seat->raft.hard.term));
+    if (node.feed.config.version > 0)
+        return;
+    // Puts the initial seats into the configuration that entries follow.
+    ControlSeatOutput seatOut;
+    seatProposeSeats(*node.seat, node.seat->raft.seats, now, seatOut);
+    takeSeatOutput(node, seatOut, now, out);
+}
+
+void stopLeading(NodeState &node, NodeOutput &out)
+{
+    node.leader = LeaderState{};
+    addEvent(out, NodeEventKind::LostLeadership, node.settings.self.entry, {});
+}
+
+void plan(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    std::vector<EntryPresence> entries;
+    for (const auto &[id, entry] : node.leader.entries)
+        entries.push_back(entry);
+    const PlannerInput input{node.feed.config, node.watch.presence, entries,
+                             node.leader.idleGroups};
+    for (const PlannedCommand &planned : planChanges(input, node.settings.planner, now)) {
+        addEvent(out, NodeEventKind::Planned, planned.why, std::to_string(planned.command.index()));
+        proposeAsLeader(node, planned.command, now, out);
+    }
+    node.leader.idleGroups.clear();
+}
+
+EndpointReply replyTo(const NodeState &node, std::uint64_t session, const VmId &vm)
+{
+    EndpointReply reply;
+    reply.session = session;
+    reply.isAccepted = true;
+    reply.reportTo = callerAddressOf(node, watcherOf(node, vm));
+    reply.heartbeatMs = node.settings.heartbeatMs;
+    return reply;
+}
+
+bool isSameAnnouncement(const Vm &known, const Vm &announced)
+{
+    Vm copy = announced;
+    copy.status = known.status;
+    return copy == known && known.status != VmStatus::Lost;
+}
+
+} // namespace
+
+void nodeAnnounce(NodeState &node, AnnounceRequest request, TimePoint now, NodeOutput &out)
+{
+    const Vm *known = findVm(node.feed.config, request.vm.id);
+    if (known && isSameAnnouncement(*known, request.vm)) {
+        out.endpointReplies.push_back(replyTo(node, request.session, request.vm.id));
+        return;
+    }
+    node.announced[request.session] = request.vm.id;
+    callControl(node, AnnounceVm{std::move(request.vm)}, CallPurpose::Announce, request.session,
+                node.settings.callTimeout, now, out);
+}
+
+void nodeHeartbeat(NodeState &node, Heartbeat heartbeat, TimePoint now, NodeOutput &out)
+{
+    VmReport &report = heartbeat.report;
+    const Vm *known = findVm(node.feed.config, report.vm);
+    EndpointReply reply = replyTo(node, heartbeat.session, report.vm);
+    reply.mustAnnounce =
+            !known || known->incarnation < report.incarnation || known->status == VmStatus::Lost;
+    if (known && known->incarnation > report.incarnation) {
+        reply.isAccepted = false;
+        reply.error = "a newer incarnation of the VM is known";
+        out.endpointReplies.push_back(std::move(reply));
+        return;
+    }
+    report.receivedAt = now;
+    const VmId id = report.vm;
+    const auto previous = node.watch.reports.find(id);
+    const bool changed =
+            previous == node.watch.reports.end() || !sameFacts(previous->second, report);
+    node.watch.reports[id] = std::move(report);
+    out.endpointReplies.push_back(std::move(reply));
+    if (changed)
+        updateTargets(node, now, out);
+}
+
+void nodeLeave(NodeState &node, const LeaveRequest &request, TimePoint now, NodeOutput &out)
+{
+    const LeavingNotice notice{request.vm, request.incarnation};
+    receiveLeavingNotice(node, notice, now, out);
+    for (const auto &[entry, member] : node.membership.members) {
+        if (member.info.status <= MemberStatus::Suspect)
+            out.peers.emplace_back(entry, notice);
+    }
+    node.announced[request.session] = request.vm;
+    callControl(node, SetVmStatus{request.vm, request.incarnation, VmStatus::Draining},
+                CallPurpose::Leave, request.session, node.settings.callTimeout, now, out);
+}
+
+void nodeOrderEnd(NodeState &node, const EngineOrderEnd &end, TimePoint now, NodeOutput &out)
+{
+    const auto found = node.watch.orders.find(end.vm);
+    if (found == node.watch.orders.end() || found->second.group != end.group)
+        return;
+    node.watch.orders.erase(found);
+    node.watch.nextOrder[end.vm] = now + node.settings.orderRetry;
+    if (!end.isAccepted)
+        addEvent(out, NodeEventKind::OrderRefused, end.vm, std::to_string(end.group));
+}
+
+namespace NodeInternal {
+
+void endpointCallFinished(NodeState &node, const ControlCall &call, const CommandReply *reply,
+                          NodeOutput &out)
+{
+    const auto announced = node.announced.find(call.subject);
+    VmId vm;
+    if (announced != node.announced.end()) {
+        vm = announced->second;
+        node.announced.erase(announced);
+    }
+    EndpointReply answer = replyTo(node, call.subject, vm);
+    answer.isAccepted = reply && reply->isAccepted();
+    if (!reply)
+        answer.error = "the control state did not answer in time";
+    else if (!answer.isAccepted)
+        answer.error = reply->message;
+    out.endpointReplies.push_back(std::move(answer));
+}
+
+void watchTick(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    sendWatchReport(node, now, out);
+    sendOrders(node, now, out);
+    std::erase_if(node.watch.reports, [&](const auto &item) {
+        return now - item.second.receivedAt > node.settings.planner.lossTimeout;
+    });
+    std::erase_if(node.watch.leaving, [&node](const auto &item) {
+        const Vm *vm = findVm(node.feed.config, item.first);
+        return vm && vm->incarnation > item.second;
+    });
+}
+
+void receiveWatchReport(NodeState &node, const EntryId &from, const WatchReport &report,
+                        TimePoint now)
+{
+    if (!node.seat)
+        return;
+    for (const VmReport &known : report.reports) {
+        VmPresence &presence = presenceOf(node, known.vm, now);
+        if (!presence.isPresent)
+            presence.changedAt = now;
+        presence.isPresent = true;
+        presence.heldWeights = known.heldWeights;
+        presence.group = known.group;
+        presence.state = known.state;
+        node.watch.watchers[known.vm] = from;
+    }
+    for (const VmId &vm : report.silent) {
+        const auto watcher = node.watch.watchers.find(vm);
+        if (watcher != node.watch.watchers.end() && watcher->second == from)
+            setAbsent(node, vm, now);
+    }
+    node.leader.idleGroups.insert(report.idleGroups.begin(), report.idleGroups.end());
+}
+
+void watcherGone(NodeState &node, const EntryId &entry, TimePoint now)
+{
+    for (const auto &[vm, watcher] : node.watch.watchers) {
+        if (watcher == entry)
+            setAbsent(node, vm, now);
+    }
+}
+
+void receiveLeavingNotice(NodeState &node, const LeavingNotice &notice, TimePoint now,
+                          NodeOutput &out)
+{
+    std::uint64_t &incarnation = node.watch.leaving[notice.vm];
+    incarnation = std::max(incarnation, notice.incarnation);
+    updateTargets(node, now, out);
+}
+
+void leaderTick(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    if (!node.seat)
+        return;
+    const bool acting = isActingLeader(*node.seat, now);
+    if (acting != node.leader.isActing) {
+        if (acting)
+            startLeading(node, now, out);
+        else
+            stopLeading(node, out);
+    }
+    if (!acting)
+        return;
+    noteEntries(node, now);
+    accountDowntime(node, now);
+    for (const auto &[id, vm] : node.feed.config.vms)
+        presenceOf(node, id, now);
+    const bool settled = now - node.leader.actingSince >= node.settings.leaderSettle;
+    if (!settled || now < node.leader.nextPlan || !node.leader.plannedTickets.empty())
+        return;
+    node.leader.nextPlan = now + node.settings.planInterval;
+    abandonKeys(node, now, out);
+    plan(node, now, out);
+}
+
+void plannedTicketDone(NodeState &node, std::uint64_t ticket)
+{
+    node.leader.plannedTickets.erase(ticket);
+}
+
+} // namespace NodeInternal
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libruntime/runtime.h
@@ -0,0 +1,12 @@
+#pragma once
+
+// Public header of libruntime: clock, duties and rings, settings, events and metrics.
+
+#include "libruntime/address.h"
+#include "libruntime/clock.h"
+#include "libruntime/duty.h"
+#include "libruntime/events.h"
+#include "libruntime/findings.h"
+#include "libruntime/metrics.h"
+#include "libruntime/ring.h"
+#include "libruntime/settings.h"
--- /dev/null
+++ b/src/plugins/routing/leastloaded.cpp
@@ -0,0 +1,22 @@
+#include "libserving/serving.h"
+
+#include <algorithm>
+
+namespace Trefoil {
+
+namespace {
+
+std::size_t chooseLeastLoaded(std::span<const RoutingCandidate> candidates, std::mt19937_64 &)
+{
+    const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                       [](const RoutingCandidate &a, const RoutingCandidate &b) {
+                                           return a.inFlight * b.slots < b.inFlight * a.slots;
+                                       });
+    return static_cast<std::size_t>(best - candidates.begin());
+}
+
+const RoutingPolicies::Registration registration("least-loaded", {chooseLeastLoaded});
+
+} // namespace
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/trefoilrund/frontjson.cpp
@@ -0,0 +1,396 @@
+#include "trefoilrund/frontjson.h"
+
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+#include <cmath>
+
+namespace Trefoil {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double BytesPerToken = 4; // usual length of a prompt token
+constexpr std::size_t MaxNameBytes = 200;
+
+// Reads typed fields of an object. The first fault is kept.
+class FieldReader
+{
+public:
+    explicit FieldReader(const std::string &body)
+    {
+        boost::system::error_code error;
+        value_ = json::parse(body, error);
+        if (error)
+            fail("", "the body is not JSON: " + error.message());
+        else if (!value_.is_object())
+            fail("", "the body must be an object");
+    }
+
+    bool hasError() const { return error_.has_value(); }
+    BodyError error() const { return *error_; }
+
+    void fail(const std::string &field, const std::string &message)
+    {
+        if (!error_)
+            error_ = BodyError{field, message};
+    }
+
+    const json::value *find(const std::string &field) const
+    {
+        return value_.is_object() ? value_.as_object().if_contains(field) : nullptr;
+    }
+
+    std::string text(const std::string &field, bool required)
+    {
+        const json::value *value = find(field);
+        if (!value && !required)
+            return {};
+        if (!value || !value->is_string() || value->as_string().empty()
+            || value->as_string().size() > MaxNameBytes) {
+            fail(field, "must be a text of 1 to 200 bytes");
+            return {};
+        }
+        return std::string(value->as_string());
+    }
+
+    std::uint64_t integer(const std::string &field, std::uint64_t lowest, std::uint64_t highest,
+                          std::uint64_t fallback)
+    {
+        const json::value *value = find(field);
+        if (!value)
+            return fallback;
+        boost::system::error_code error;
+        const auto number = value->to_number<std::uint64_t>(error);
+        if (error || number < lowest || number > highest) {
+            fail(field, "must be a whole number from " + std::to_string(lowest) + " to "
+                                + std::to_string(highest));
+            return fallback;
+        }
+        return number;
+    }
+
+    bool flag(const std::string &field)
+    {
+        const json::value *value = find(field);
+        if (value && !value->is_bool())
+            fail(field, "must be true or false");
+        return value && value->is_bool() && value->as_bool();
+    }
+
+private:
+    json::value value_;
+    std::optional<BodyError> error_;
+};
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+std::string textOf(const json::value &content)
+{
+    if (content.is_string())
+        return std::string(content.as_string());
+    return json::serialize(content);
+}
+
+void readMessages(FieldReader &reader, ChatFacts &facts)
+{
+    const json::value *messages = reader.find("messages");
+    if (!messages || !messages->is_array() || messages->as_array().empty()) {
+        reader.fail("messages", "must be a list with at least one message");
+        return;
+    }
+    std::size_t bytes = 0;
+    for (const json::value &message : messages->as_array()) {
+        const json::value *content =
+                message.is_object() ? message.as_object().if_contains("content") : nullptr;
+        if (!content) {
+            reader.fail("messages", "each message must be an object with a content");
+            return;
+        }
+        const std::string text = textOf(*content);
+        if (facts.prefixHash == 0)
+            facts.prefixHash = hashOf(text);
+        bytes += text.size();
+    }
+    facts.promptTokens = std::max(1.0, std::ceil(static_cast<double>(bytes) / BytesPerToken));
+}
+
+template <class T>
+std::variant<T, BodyError> resultOf(const FieldReader &reader, T value)
+{
+    if (reader.hasError())
+        return reader.error();
+    return value;
+}
+
+json::array addressesOf(std::span<const Member> members)
+{
+    json::array addresses;
+    for (const Member &member : members)
+        addresses.emplace_back(member.callerAddress);
+    return addresses;
+}
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
+json::value cellValue(const Cell &cell)
+{
+    if (const auto *integer = std::get_if<std::int64_t>(&cell))
+        return *integer;
+    if (const auto *real = std::get_if<double>(&cell))
+        return *real;
+    if (const auto *text = std::get_if<std::string>(&cell))
+        return json::value(*text);
+    const auto &histogram = std::get<DurationHistogram>(cell);
+    return json::object{{"p50_ms", quantileMs(histogram, 0.5)},
+                        {"p95_ms", quantileMs(histogram, 0.95)},
+                        {"p99_ms", quantileMs(histogram, 0.99)}};
+}
+
+json::array rowValues(const OperatorReply &reply)
+{
+    json::array rows;
+    const TableSpec *table = findTable(reply.table);
+    for (const Row &row : reply.rows) {
+        json::object object;
+        for (std::size_t i = 0; table && i < table->columns.size(); ++i) {
+            const auto name = table->columns[i].name;
+            object[json::string_view(name.data(), name.size())] = cellValue(row[i]);
+        }
+        rows.emplace_back(std::move(object));
+    }
+    return rows;
+}
+
+} // namespace
+
+std::variant<ChatFacts, BodyError> parseChat(const std::string &body)
+{
+    FieldReader reader(body);
+    ChatFacts facts;
+    facts.model = reader.text("model", true);
+    facts.stream = reader.flag("stream");
+    readMessages(reader, facts);
+    return resultOf(reader, facts);
+}
+
+std::variant<Vm, BodyError> parseAnnouncement(const std::string &body)
+{
+    FieldReader reader(body);
+    Vm vm;
+    vm.id = reader.text("vm", true);
+    vm.address = reader.text("address", true);
+    if (!reader.hasError() && !parseAddress(vm.address))
+        reader.fail("address", "must be an IP number and a port, like 10.0.0.1:8000");
+    vm.domain = reader.text("domain", true);
+    vm.service = reader.text("service", false);
+    vm.role = vm.service.empty() ? VmRole::Engine : VmRole::Service;
+    vm.fabric = reader.text("fabric", vm.role == VmRole::Engine);
+    vm.accelerators = static_cast<std::uint32_t>(reader.integer("accelerators", 0, 1024, 0));
+    vm.slots = static_cast<std::uint32_t>(reader.integer("slots", 1, 1'000'000, 1));
+    vm.incarnation = reader.integer("incarnation", 1, UINT64_MAX, 0);
+    if (vm.incarnation == 0)
+        reader.fail("incarnation", "must be a number that grows with each start of the VM");
+    vm.enforcesFencing = reader.flag("enforces_fencing");
+    return resultOf(reader, vm);
+}
+
+std::variant<VmReport, BodyError> parseHeartbeat(const std::string &body)
+{
+    FieldReader reader(body);
+    VmReport report;
+    report.vm = reader.text("vm", true);
+    report.incarnation = reader.integer("incarnation", 1, UINT64_MAX, 0);
+    report.group = reader.integer("group", 0, UINT64_MAX, 0);
+    report.inFlight = static_cast<std::uint32_t>(reader.integer("in_flight", 0, UINT32_MAX, 0));
+    const std::string state = reader.text("state", false);
+    if (state == "ready")
+        report.state = EngineState::Ready;
+    else if (state == "loading")
+        report.state = EngineState::Loading;
+    else if (!state.empty() && state != "idle")
+        reader.fail("state", "must be idle, loading or ready");
+    const json::value *weights = reader.find("weights");
+    if (weights && !weights->is_array())
+        reader.fail("weights", "must be a list of model@version");
+    if (weights && weights->is_array()) {
+        for (const json::value &name : weights->as_array()) {
+            if (name.is_string())
+                report.heldWeights.insert(std::string(name.as_string()));
+            else
+                reader.fail("weights", "must be a list of model@version");
+        }
+    }
+    return resultOf(reader, report);
+}
+
+std::variant<LeaveRequest, BodyError> parseLeave(const std::string &body)
+{
+    FieldReader reader(body);
+    LeaveRequest leave;
+    leave.vm = reader.text("vm", true);
+    leave.incarnation = reader.integer("incarnation", 1, UINT64_MAX, 0);
+    if (leave.incarnation == 0)
+        reader.fail("incarnation", "must be the incarnation that was announced");
+    return resultOf(reader, leave);
+}
+
+std::string entryListJson(std::span<const Member> members, const std::string &ownDomain,
+                          Duration lifetime)
+{
+    json::array entries;
+    for (const Member &member : members) {
+        entries.emplace_back(json::object{{"address", member.callerAddress},
+                                          {"domain", member.domain},
+                                          {"weight", member.domain == ownDomain ? 100 : 10}});
+    }
+    return json::serialize(
+            json::object{{"entries", std::move(entries)}, {"lifetime_ms", milliseconds(lifetime)}});
+}
+
+std::string reasonText(Reason reason)
+{
+    switch (reason) {
+    case Reason::UnknownTarget:
+        return "there is no such deployment or service";
+    case Reason::UnknownWorkspace:
+        return "there is no such workspace";
+    case Reason::Stale:
+        return "this entry cannot confirm its configuration; ask another one";
+    case Reason::Draining:
+        return "this entry is stopping; ask another one";
+    case Reason::Overloaded:
+        return "the workspace's queue cannot be served before the deadline";
+    case Reason::NoCapacity:
+        return "nothing can take the request now";
+    case Reason::DeadlinePassed:
+        return "the deadline passed";
+    case Reason::KeyMismatch:
+        return "the idempotency key was used for another request";
+    case Reason::KeyRunning:
+        return "a call with this idempotency key is running";
+    case Reason::KeyUnavailable:
+        return "the idempotency key could not be recorded";
+    case Reason::ConnectFailed:
+        return "the endpoint could not be reached";
+    case Reason::EndpointRefused:
+        return "the endpoint refused the request without running it";
+    case Reason::EndpointFailed:
+        return "the endpoint reported an error";
+    case Reason::ConnectionLost:
+        return "the connection to the endpoint was lost";
+    case Reason::Silent:
+        return "the endpoint made no progress";
+    case Reason::CallerGone:
+        return "the caller closed the connection";
+    case Reason::EntryLost:
+        return "the entry that ran the request is gone";
+    case Reason::None:
+        break;
+    }
+    return {};
+}
+
+std::string refusalJson(Outcome outcome, Reason reason, Duration retryAfter,
+                        std::span<const Member> members)
+{
+    json::object error{{"outcome", toString(outcome)},
+                       {"type", toString(reason)},
+                       {"message", reasonText(reason)}};
+    if (retryAfter > Duration{})
+        error["retry_after_ms"] = milliseconds(retryAfter);
+    error["entries"] = addressesOf(members);
+    return json::serialize(json::object{{"error", std::move(error)}});
+}
+
+std::string bodyErrorJson(const BodyError &error)
+{
+    return json::serialize(json::object{{"error", json::object{{"outcome", "not-run"},
+                                                               {"type", "invalid-request"},
+                                                               {"field", error.field},
+                                                               {"message", error.message}}}});
+}
+
+std::string endpointReplyJson(const EndpointReply &reply)
+{
+    json::object object{{"accepted", reply.isAccepted},
+                        {"must_announce", reply.mustAnnounce},
+                        {"report_to", reply.reportTo},
+                        {"heartbeat_ms", reply.heartbeatMs}};
+    if (!reply.error.empty())
+        object["error"] = reply.error;
+    return json::serialize(object);
+}
+
+std::string orderJson(const EngineOrder &order)
+{
+    json::array members;
+    for (const std::string &member : order.members)
+        members.emplace_back(member);
+    return json::serialize(json::object{{"order", "serve"},
+                                        {"vm", order.vm},
+                                        {"group", order.group},
+                                        {"fence", order.group},
+                                        {"rank", order.rank},
+                                        {"members", std::move(members)},
+                                        {"model", order.model},
+                                        {"version", order.version}});
+}
+
+std::string operatorReplyJson(const OperatorReply &reply)
+{
+    json::object object{{"ok", reply.isOk}, {"version", reply.version}};
+    if (!reply.code.empty())
+        object["code"] = reply.code;
+    if (!reply.message.empty())
+        object["message"] = reply.message;
+    if (reply.column > 0)
+        object["column"] = reply.column;
+    if (reply.inForce)
+        object["in_force"] = *reply.inForce;
+    if (!reply.text.empty())
+        object["text"] = reply.text;
+    json::array missing;
+    for (const EntryId &entry : reply.missing)
+        missing.emplace_back(entry);
+    if (!missing.empty())
+        object["missing"] = std::move(missing);
+    if (const TableSpec *table = findTable(reply.table)) {
+        json::array columns;
+        for (const ColumnSpec &column : table->columns)
+            columns.emplace_back(json::string_view(column.name.data(), column.name.size()));
+        object["table"] = reply.table;
+        object["columns"] = std::move(columns);
+        object["rows"] = rowValues(reply);
+    }
+    return json::serialize(object);
+}
+
+std::optional<UsageFacts> parseUsage(std::string_view text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(json::string_view(text.data(), text.size()), error);
+    if (error || !value.is_object())
+        return std::nullopt;
+    const json::value *usage = value.as_object().if_contains("usage");
+    if (!usage || !usage->is_object())
+        return std::nullopt;
+    UsageFacts facts;
+    if (const json::value *generated = usage->as_object().if_contains("completion_tokens"))
+        facts.generated = generated->to_number<std::uint64_t>(error);
+    const json::value *details = usage->as_object().if_contains("prompt_tokens_details");
+    if (details && details->is_object()) {
+        if (const json::value *cached = details->as_object().if_contains("cached_tokens"))
+            facts.cachedPrompt = cached->to_number<std::uint64_t>(error);
+    }
+    return facts;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/trefoilrund/main.cpp
@@ -0,0 +1,125 @@
+#include "trefoilrund/daemon.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+namespace po = boost::program_options;
+
+namespace Trefoil {
+
+namespace {
+
+enum ExitCode { ExitOk = 0, ExitUsage = 1, ExitSettings = 2, ExitFailure = 3 };
+
+struct Options
+{
+    std::string settings;
+    bool check = false;
+    bool initSeat = false;
+};
+
+// Runs until a signal asks for a planned stop and the stop is done or overdue.
+int runDaemon(const Settings &settings)
+{
+    boost::asio::io_context context;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    boost::asio::steady_timer overdue(context);
+    Daemon daemon(settings);
+    bool stopping = false;
+    std::function<void(const boost::system::error_code &, int)> onSignal;
+    onSignal = [&](const boost::system::error_code &error, int) {
+        if (error)
+            return;
+        signals.async_wait(onSignal);
+        if (stopping)
+            return; // a second signal does not hurry the stop
+        stopping = true;
+        logEvent(Event::Stopping);
+        daemon.drain([&] { boost::asio::post(context, [&] { context.stop(); }); });
+        overdue.expires_after(settings.stopBound);
+        overdue.async_wait([&](const boost::system::error_code &cancelled) {
+            if (cancelled)
+                return;
+            logEvent(Event::StopOverdue,
+                     {{"lost", "requests in progress end without their answers"}});
+            context.stop();
+        });
+    };
+    signals.async_wait(onSignal);
+    daemon.start();
+    context.run();
+    // Lets the last datagrams and answers leave.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    daemon.stop();
+    logEvent(Event::Stopped);
+    return ExitOk;
+}
+
+int run(const Options &options)
+{
+    const LoadedSettings loaded = loadSettings(options.settings);
+    if (!loaded.findings.empty()) {
+        std::cerr << toText(loaded.findings);
+        return ExitSettings;
+    }
+    if (options.check) {
+        std::cout << options.settings << ": ok\n";
+        return ExitOk;
+    }
+    startLogging("trefoilrund", loaded.settings.logFolder);
+    if (!options.initSeat)
+        return runDaemon(loaded.settings);
+    if (loaded.settings.dataFolder.empty())
+        throw DiskError("the settings name no data folder under 'control'");
+    initializeSeat(loaded.settings);
+    std::cout << "seat of entry " << loaded.settings.node.self.entry << " initialized\n";
+    return ExitOk;
+}
+
+} // namespace
+
+} // namespace Trefoil
+
+int main(int argc, char **argv)
+{
+    Trefoil::Options options;
+    po::options_description description("trefoilrund - entry of the trefoilrun serving system");
+    auto add = description.add_options();
+    add("settings,s", po::value(&options.settings), "settings file (YAML)");
+    add("check", po::bool_switch(&options.check), "check the settings and exit");
+    add("init-seat", po::bool_switch(&options.initSeat),
+        "make the data folder one of the first control seats and exit; once for each seat");
+    add("help,h", "show this text");
+    add("version", "show the version");
+    try {
+        po::variables_map values;
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return Trefoil::ExitOk;
+        }
+        if (values.count("version") > 0) {
+            std::cout << "trefoilrund " << TREFOIL_VERSION << "\n";
+            return Trefoil::ExitOk;
+        }
+        if (options.settings.empty()) {
+            std::cerr << "trefoilrund: --settings is missing\n" << description;
+            return Trefoil::ExitUsage;
+        }
+        return Trefoil::run(options);
+    } catch (const po::error &error) {
+        std::cerr << "trefoilrund: " << error.what() << "\n";
+        return Trefoil::ExitUsage;
+    } catch (const std::exception &error) {
+        std::cerr << "trefoilrund: " << error.what() << "\n";
+        return Trefoil::ExitFailure;
+    }
+}
--- /dev/null
+++ b/src/trefoilrund/upstream.cpp
@@ -0,0 +1,384 @@
+#include "trefoilrund/upstream.h"
+
+#include "trefoilrund/frontjson.h"
+#include "trefoilrund/signal.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t ReadBytes = 32 * 1024;
+constexpr std::size_t MaxIdlePerAddress = 64;
+constexpr auto MaxIdleTime = std::chrono::seconds(20);
+constexpr std::size_t MaxEventBytes = 1024 * 1024;
+constexpr std::uint64_t TokensPerReport = 32;
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view DoneEvent = "data: [DONE]";
+
+tcp::endpoint endpointOf(const std::string &text)
+{
+    const auto address = parseAddress(text);
+    if (!address)
+        return {};
+    return {asio::ip::make_address(address->host), address->port};
+}
+
+bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 500;
+}
+
+http::request<http::string_body> requestOf(const StartAttempt &start)
+{
+    const DispatchRequest &request = start.request;
+    const CallPayload &payload = *request.payload;
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(payload.method);
+    message.target(payload.path);
+    message.set(http::field::host, start.address);
+    if (!payload.contentType.empty())
+        message.set(http::field::content_type, payload.contentType);
+    message.set("Trefoil-Request-Id", toString(request.id));
+    message.set("Trefoil-Attempt", std::to_string(request.attempt));
+    message.set("Trefoil-Workspace", request.workspace);
+    message.set("Trefoil-Priority",
+                RequestClassNames[static_cast<std::size_t>(request.requestClass)]);
+    if (start.group > 0) {
+        message.set("Trefoil-Group", std::to_string(start.group));
+        message.set("Trefoil-Resume-From", std::to_string(request.resumeFrom));
+    }
+    message.body() = payload.body;
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+ConnectionPool::Handle ConnectionPool::take(const std::string &address)
+{
+    std::vector<Handle> &idle = idle_[address];
+    while (!idle.empty()) {
+        Handle connection = std::move(idle.back());
+        idle.pop_back();
+        if (RuntimeClock::now() - connection->idleSince < MaxIdleTime) {
+            connection->isReused = true;
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void ConnectionPool::put(const std::string &address, Handle connection)
+{
+    std::vector<Handle> &idle = idle_[address];
+    if (idle.size() >= MaxIdlePerAddress)
+        return;
+    connection->idleSince = RuntimeClock::now();
+    idle.push_back(std::move(connection));
+}
+
+struct UpstreamAttempt::Response
+{
+    http::response_parser<http::buffer_body> parser;
+    std::array<char, ReadBytes> chunk{};
+
+    unsigned status() { return parser.get().result_int(); }
+
+    std::string header(std::string_view name)
+    {
+        return std::string(parser.get()[beast::string_view(name.data(), name.size())]);
+    }
+};
+
+UpstreamAttempt::UpstreamAttempt(StartAttempt start, std::shared_ptr<AnswerSink> sink,
+                                 ConnectionPool &pool, const HttpLimits &limits,
+                                 std::function<void(std::uint64_t)> progress)
+    : start_(std::move(start))
+    , sink_(std::move(sink))
+    , pool_(pool)
+    , limits_(limits)
+    , progress_(std::move(progress))
+{}
+
+void UpstreamAttempt::cancel()
+{
+    isCancelled_ = true;
+    if (connection_)
+        connection_->stream.close();
+}
+
+asio::awaitable<AttemptEnd> UpstreamAttempt::run()
+{
+    AttemptEnd end;
+    end.id = start_.request.id;
+    end.attempt = start_.request.attempt;
+    end.result = AttemptResult::NotStarted;
+    end.reason = Reason::ConnectFailed;
+    // A call that must not run twice gets a connection of its own: whether an idle connection
+    // still works shows only after the request was written to it.
+    if (start_.request.isIdempotent)
+        connection_ = pool_.take(start_.address);
+    const bool reused = connection_ != nullptr;
+    if (!reused) {
+        const bool connected = co_await connect();
+        if (!connected)
+            co_return end;
+    }
+    co_await exchange(end);
+    // An idle connection may have been dead all along; the endpoint is blamed only after a fresh
+    // one.
+    if (reused && !hasResponse_ && !isCancelled_) {
+        end.result = AttemptResult::Lost;
+        end.reason = Reason::ConnectionLost;
+        const bool connected = co_await connect();
+        if (!connected)
+            co_return end;
+        co_await exchange(end);
+    }
+    flushTokens();
+    if (isCancelled_) {
+        end.reason = Reason::CallerGone;
+        if (end.result != AttemptResult::NotStarted)
+            end.result = AttemptResult::Lost;
+    }
+    co_return end;
+}
+
+asio::awaitable<bool> UpstreamAttempt::connect()
+{
+    const auto executor = co_await asio::this_coro::executor;
+    connection_ = std::make_unique<ConnectionPool::Connection>(executor);
+    connection_->stream.expires_after(limits_.connectTimeout);
+    const auto [error] =
+            co_await connection_->stream.async_connect(endpointOf(start_.address), AsTuple);
+    if (error || isCancelled_)
+        co_return false;
+    beast::error_code ignored;
+    connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+// Sends the request and reads the answer.
+asio::awaitable<void> UpstreamAttempt::exchange(AttemptEnd &end)
+{
+    const bool sent = co_await sendRequest(end);
+    if (sent)
+        co_await readResponse(end);
+}
+
+asio::awaitable<bool> UpstreamAttempt::sendRequest(AttemptEnd &end)
+{
+    if (isCancelled_)
+        co_return false;
+    const auto message = requestOf(start_);
+    connection_->stream.expires_after(limits_.writeTimeout);
+    // From the first byte on, the endpoint may run the request.
+    end.result = AttemptResult::Lost;
+    end.reason = Reason::ConnectionLost;
+    const auto [error, bytes] = co_await http::async_write(connection_->stream, message, AsTuple);
+    co_return !error;
+}
+
+asio::awaitable<void> UpstreamAttempt::readResponse(AttemptEnd &end)
+{
+    Response response;
+    response.parser.body_limit(boost::none);
+    connection_->stream.expires_after(limits_.firstByteTimeout);
+    const auto [error, bytes] = co_await http::async_read_header(
+            connection_->stream, connection_->buffer, response.parser, AsTuple);
+    if (error) {
+        if (error == beast::error::timeout) {
+            end.reason = Reason::Silent;
+            hasResponse_ = true; // silent, not stale: a second try would run it twice
+        }
+        co_return;
+    }
+    hasResponse_ = true;
+    end.status = response.status();
+    end.contentType = response.header("Content-Type");
+    const bool isStream = end.contentType.starts_with("text/event-stream") && isSuccess(end.status)
+                          && !start_.request.buffered;
+    if (isStream)
+        co_await relayEvents(response, end);
+    else
+        co_await collectBody(response, end);
+    if (response.parser.is_done() && response.parser.keep_alive()
+        && end.result == AttemptResult::Completed && !isCancelled_) {
+        connection_->stream.expires_never();
+        pool_.put(start_.address, std::move(connection_));
+    }
+}
+
+// Reads the next part of the body into `chunk`. Returns the bytes read, or nothing on an error.
+namespace {
+
+template <class Response>
+asio::awaitable<std::optional<std::size_t>> readSome(ConnectionPool::Connection &connection,
+                                                     Response &response, Duration timeout,
+                                                     AttemptEnd &end)
+{
+    auto &body = response.parser.get().body();
+    body.data = response.chunk.data();
+    body.size = response.chunk.size();
+    connection.stream.expires_after(timeout);
+    auto [error, bytes] = co_await http::async_read_some(connection.stream, connection.buffer,
+                                                         response.parser, AsTuple);
+    if (error == http::error::need_buffer)
+        error = {};
+    if (error) {
+        end.reason = error == beast::error::timeout ? Reason::Silent : Reason::ConnectionLost;
+        co_return std::nullopt;
+    }
+    co_return response.chunk.size() - body.size;
+}
+
+} // namespace
+
+asio::awaitable<void> UpstreamAttempt::relayEvents(Response &response, AttemptEnd &end)
+{
+    sink_->head(end.status, end.contentType);
+    std::string pending;
+    bool isDone = false;
+    while (!response.parser.is_done()) {
+        const auto size = co_await readSome(*connection_, response, limits_.progressTimeout, end);
+        if (!size)
+            co_return;
+        pending.append(response.chunk.data(), *size);
+        const bool passed = co_await passEvents(pending, isDone, end);
+        if (!passed) {
+            end.reason = Reason::CallerGone;
+            co_return;
+        }
+        if (pending.size() > MaxEventBytes) {
+            end.reason = Reason::EndpointFailed;
+            co_return;
+        }
+    }
+    // A stream without its end mark was cut, even when the connection closed in order.
+    if (isDone) {
+        end.result = AttemptResult::Completed;
+        end.reason = Reason::None;
+    }
+}
+
+// Passes the whole events in `pending` on and keeps the rest.
+asio::awaitable<bool> UpstreamAttempt::passEvents(std::string &pending, bool &isDone,
+                                                  AttemptEnd &end)
+{
+    std::string events;
+    std::size_t from = 0;
+    std::uint64_t count = 0;
+    for (std::size_t at = pending.find(EventEnd); at != std::string::npos;
+         at = pending.find(EventEnd, from)) {
+        const std::string_view event = std::string_view(pending).substr(from, at - from);
+        from = at + EventEnd.size();
+        if (event.starts_with(DoneEvent)) {
+            isDone = true;
+            continue;
+        }
+        if (event.find("\"usage\"") != std::string_view::npos && event.starts_with("data: ")) {
+            if (const auto usage = parseUsage(event.substr(6))) {
+                end.generatedTokens = usage->generated;
+                end.cachedPromptTokens = usage->cachedPrompt;
+            }
+        }
+        events.append(event).append(EventEnd);
+        ++count;
+    }
+    pending.erase(0, from);
+    if (events.empty())
+        co_return true;
+    countTokens(count);
+    const std::size_t bytes = events.size();
+    const bool taken = co_await sink_->write(std::move(events));
+    if (!taken)
+        co_return false;
+    end.relayedEvents += count;
+    end.relayedBytes += bytes;
+    co_return true;
+}
+
+asio::awaitable<void> UpstreamAttempt::collectBody(Response &response, AttemptEnd &end)
+{
+    while (!response.parser.is_done()) {
+        const auto size = co_await readSome(*connection_, response, limits_.progressTimeout, end);
+        if (!size)
+            co_return;
+        end.body.append(response.chunk.data(), *size);
+        if (end.body.size() > limits_.maxAnswerBytes) {
+            end.body.clear();
+            end.reason = Reason::EndpointFailed;
+            co_return;
+        }
+    }
+    judgeStatus(response, end);
+    if (const auto usage = parseUsage(end.body)) {
+        end.generatedTokens = usage->generated;
+        end.cachedPromptTokens = usage->cachedPrompt;
+    }
+}
+
+void UpstreamAttempt::judgeStatus(Response &response, AttemptEnd &end)
+{
+    if (response.header("Trefoil-Ran") == "no") {
+        end.result = AttemptResult::NotStarted;
+        end.reason = Reason::EndpointRefused;
+        return;
+    }
+    const bool success = isSuccess(end.status);
+    end.result = success ? AttemptResult::Completed : AttemptResult::Failed;
+    end.reason = success ? Reason::None : Reason::EndpointFailed;
+}
+
+void UpstreamAttempt::countTokens(std::uint64_t tokens)
+{
+    pendingTokens_ += tokens;
+    if (pendingTokens_ >= TokensPerReport)
+        flushTokens();
+}
+
+void UpstreamAttempt::flushTokens()
+{
+    if (pendingTokens_ > 0)
+        progress_(pendingTokens_);
+    pendingTokens_ = 0;
+}
+
+asio::awaitable<bool> sendOrder(const EngineOrder &order, Duration timeout)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    const auto [connectError] = co_await stream.async_connect(endpointOf(order.address), AsTuple);
+    if (connectError)
+        co_return false;
+    http::request<http::string_body> request(http::verb::post, "/v1/engine/order", 11);
+    request.set(http::field::host, order.address);
+    request.set(http::field::content_type, "application/json");
+    request.set("Trefoil-Fence", std::to_string(order.group));
+    request.body() = orderJson(order);
+    request.prepare_payload();
+    const auto [writeError, written] = co_await http::async_write(stream, request, AsTuple);
+    if (writeError)
+        co_return false;
+    beast::flat_buffer buffer;
+    http::response<http::string_body> response;
+    const auto [readError, read] = co_await http::async_read(stream, buffer, response, AsTuple);
+    co_return !readError && response.result_int() / 100 == 2;
+}
+
+} // namespace Trefoil
