libserving: a dispatcher's later process answers nothing for an earlier one

Cause: a copy of a dispatch, or a check of it, that reached a restarted dispatcher was answered as 'not started', although the process before it had run the request. Ruled out: a wrong decision at the origin (the reports themselves were false).

--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -61,6 +61,9 @@
 
     void operator()(const DispatchCall &call) const
     {
+        // An earlier process of this entry may have run a copy; only that one could say.
+        if (call.process != node.settings.incarnation)
+            return;
         DispatchRequest request = call.request;
         request.deadline = now + std::chrono::milliseconds(call.remainingMs);
         DispatchOutput dispatchOut;
--- a/src/libnode/noderequests.cpp
+++ b/src/libnode/noderequests.cpp
@@ -73,6 +73,8 @@
     const auto remaining =
             std::chrono::duration_cast<std::chrono::milliseconds>(dispatch.request.deadline - now);
     DispatchCall call;
+    const auto process = node.peerProcesses.find(dispatch.to);
+    call.process = process == node.peerProcesses.end() ? 0 : process->second;
     call.request = std::move(dispatch.request);
     call.remainingMs = static_cast<std::uint64_t>(std::max<std::int64_t>(remaining.count(), 0));
     out.peers.emplace_back(dispatch.to, std::move(call));
--- a/src/libserving/peercodec.cpp
+++ b/src/libserving/peercodec.cpp
@@ -341,7 +341,7 @@
 template <class A>
 void serialize(A &a, DispatchCall &m)
 {
-    a(m.request, m.remainingMs);
+    a(m.request, m.process, m.remainingMs);
 }
 
 template <class A>
--- a/src/libserving/peermessage.h
+++ b/src/libserving/peermessage.h
@@ -56,6 +56,7 @@
 struct DispatchCall
 {
     DispatchRequest request;
+    std::uint64_t process = 0;     // of the dispatcher that is meant; a later process ignores it
     std::uint64_t remainingMs = 0; // until the deadline
 };
 
--- a/tests/fuzz_control.cpp
+++ b/tests/fuzz_control.cpp
@@ -24,6 +24,8 @@
     Pause,
     Wipe,
     ChangeSeats,
+    SlowDisk,
+    LosePower,
 };
 
 struct Step
@@ -53,6 +55,8 @@
             {1, Action::Pause},
             {1, Action::Wipe},
             {2, Action::ChangeSeats},
+            {2, Action::SlowDisk},
+            {2, Action::LosePower},
     });
     return rc::gen::construct<Step>(action, rc::gen::inRange<std::uint32_t>(0, 64),
                                     rc::gen::inRange<std::uint32_t>(0, 64));
@@ -99,6 +103,12 @@
     case Action::ChangeSeats:
         cluster.changeSeats();
         break;
+    case Action::SlowDisk:
+        cluster.slowDisk(step.a, 1 + static_cast<int>(step.b % 16));
+        break;
+    case Action::LosePower:
+        cluster.losePower();
+        break;
     }
 }
 
--- a/tests/support/controlcluster.cpp
+++ b/tests/support/controlcluster.cpp
@@ -143,7 +143,7 @@
         send(index, message);
     std::uniform_int_distribution<int> syncMs(1, 40);
     for (SeatDiskWork &work : out.disk) {
-        TimePoint doneAt = now_ + std::chrono::milliseconds(syncMs(rng_));
+        TimePoint doneAt = now_ + std::chrono::milliseconds(syncMs(rng_) * seat.syncFactor);
         if (!seat.writes.empty())
             doneAt = std::max(doneAt, seat.writes.back().doneAt);
         seat.writes.push_back({std::move(work), doneAt});
@@ -329,6 +329,19 @@
         bootSeat(seat);
 }
 
+void ControlCluster::slowDisk(std::size_t seatNumber, int factor)
+{
+    seats_[seatNumber % seats_.size()].syncFactor = factor;
+}
+
+void ControlCluster::losePower()
+{
+    for (std::size_t i = 0; i < seats_.size(); ++i)
+        crash(i, 0);
+    for (std::size_t i = 0; i < seats_.size(); ++i)
+        restart(i);
+}
+
 void ControlCluster::pause(std::size_t seatNumber, Duration span)
 {
     seats_[seatNumber % seats_.size()].pausedUntil = now_ + span;
@@ -411,6 +424,7 @@
     for (std::size_t i = 0; i < seats_.size(); ++i) {
         restart(i);
         seats_[i].pausedUntil = {};
+        seats_[i].syncFactor = 1;
     }
     advance(std::chrono::seconds(8));
     if (!isQuorumIntact())
--- a/tests/support/controlcluster.h
+++ b/tests/support/controlcluster.h
@@ -41,6 +41,8 @@
     void crash(std::size_t seat, std::size_t survivingWrites);
     void restart(std::size_t seat);
     void pause(std::size_t seat, Duration span);
+    void slowDisk(std::size_t seat, int factor);
+    void losePower(); // all seats at once, then back
     void wipe(std::size_t seat);
     void changeSeats();
 
@@ -74,6 +76,7 @@
         bool isUp = true;
         bool isMember = true;
         double clockRate = 1;
+        int syncFactor = 1;
         TimePoint pausedUntil{};
         std::vector<RaftMessage> heldMessages; // received while paused
     };
