libserving, libnode: keys and requests that outlive a refusal; stale entries send VMs away

A refused claim's owner is now remembered with the key. - A dispatcher whose groups were all closed kept requests waiting to their deadline although another dispatcher had an open group (test_nodes, second VM lost after a repair: no answer within 2 s). It now gives them back; the origin tries the others and waits a bounded time for a group to open. - VMs of a cut-off dispatcher kept reporting to it, so its successor's gate never opened (test_nodes, isolated dispatcher: not recovered in 20 s). A stale entry now refuses heartbeats. - Releasing keys scanned all keys on every planning round; open ones now have their own index.

--- a/src/libcoord/raft.cpp
+++ b/src/libcoord/raft.cpp
@@ -248,8 +248,8 @@
     reply.round = chunk.round;
     reply.index = chunk.index;
     // Entries behind a matching one may have been acknowledged and must stay.
-    const bool matches = chunk.index <= lastLogIndex(raft)
-            && termAt(raft, chunk.index) == chunk.logTerm;
+    const bool matches =
+            chunk.index <= lastLogIndex(raft) && termAt(raft, chunk.index) == chunk.logTerm;
     if (matches)
         advanceCommit(raft, chunk.index, out);
     if (chunk.index <= raft.commitIndex) {
--- a/src/libnode/noderequests.cpp
+++ b/src/libnode/noderequests.cpp
@@ -327,8 +327,6 @@
     DispatchOutput dispatchOut;
     for (const auto &[pool, facts] : targets) {
         setTargets(node.dispatch, pool, pool.starts_with(ServicePrefix), facts, now, dispatchOut);
-        if (!fresh)
-            refuseWaiting(node.dispatch, pool, Reason::NoCapacity, dispatchOut);
     }
     updateWeights(node);
     updateDispatchers(node);
--- a/src/libnode/nodevms.cpp
+++ b/src/libnode/nodevms.cpp
@@ -243,10 +243,9 @@
 void abandonKeys(NodeState &node, TimePoint now, NodeOutput &out)
 {
     std::map<EntryId, std::uint64_t> gone;
-    for (const auto &[key, record] : node.seat->control.keys) {
-        if (record.result.outcome != KeyOutcome::Running)
-            continue;
-        const KeyOwner &owner = record.result.owner;
+    const ControlState &control = node.seat->control;
+    for (const std::string &key : control.runningKeys) {
+        const KeyOwner &owner = control.keys.at(key).result.owner;
         if (owner.entry == node.settings.self.entry) {
             if (owner.incarnation < node.settings.incarnation)
                 gone[owner.entry] = node.settings.incarnation;
@@ -311,6 +310,18 @@
     return reply;
 }
 
+// An entry that is cut off would hold VMs back from the entries that took its groups over.
+bool refuseWhenStale(const NodeState &node, std::uint64_t session, TimePoint now, NodeOutput &out)
+{
+    if (isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now))
+        return false;
+    EndpointReply reply;
+    reply.session = session;
+    reply.error = "this entry cannot confirm its configuration; report to another one";
+    out.endpointReplies.push_back(std::move(reply));
+    return true;
+}
+
 bool isSameAnnouncement(const Vm &known, const Vm &announced)
 {
     Vm copy = announced;
@@ -322,6 +333,8 @@
 
 void nodeAnnounce(NodeState &node, AnnounceRequest request, TimePoint now, NodeOutput &out)
 {
+    if (refuseWhenStale(node, request.session, now, out))
+        return;
     const Vm *known = findVm(node.feed.config, request.vm.id);
     if (known && isSameAnnouncement(*known, request.vm)) {
         out.endpointReplies.push_back(replyTo(node, request.session, request.vm.id));
@@ -334,6 +347,8 @@
 
 void nodeHeartbeat(NodeState &node, Heartbeat heartbeat, TimePoint now, NodeOutput &out)
 {
+    if (refuseWhenStale(node, heartbeat.session, now, out))
+        return;
     VmReport &report = heartbeat.report;
     const Vm *known = findVm(node.feed.config, report.vm);
     EndpointReply reply = replyTo(node, heartbeat.session, report.vm);
--- a/src/libserving/controlstate.cpp
+++ b/src/libserving/controlstate.cpp
@@ -51,12 +51,15 @@
         KeyRecord &record = found->second;
         if (record.result.outcome == KeyOutcome::Released)
             return claimReleased(c, record);
-        if (record.digest != c.digest)
+        if (record.digest != c.digest) {
+            rememberRefusal(record, c.owner);
             return keyReply(ReplyCode::KeyMismatch);
-        if (record.result.outcome != KeyOutcome::Running)
-            return keyReply(ReplyCode::KeyFinished, &record);
-        const bool resent = record.result.owner == c.owner;
-        return keyReply(resent ? ReplyCode::KeyGranted : ReplyCode::KeyRunning, &record);
+        }
+        if (record.result.outcome == KeyOutcome::Running && record.result.owner == c.owner)
+            return keyReply(ReplyCode::KeyGranted, &record);
+        rememberRefusal(record, c.owner);
+        const bool running = record.result.outcome == KeyOutcome::Running;
+        return keyReply(running ? ReplyCode::KeyRunning : ReplyCode::KeyFinished, &record);
     }
 
     CommandReply operator()(const FinishKey &c) const
@@ -70,6 +73,7 @@
                 result.outcome == KeyOutcome::Running || result.outcome == KeyOutcome::Unknown;
         if (!open)
             return keyReply(ReplyCode::KeyFinished, &found->second);
+        state.runningKeys.erase(c.key);
         result.outcome = c.outcome;
         result.status = c.status;
         result.contentType = c.contentType;
@@ -88,18 +92,21 @@
             return keyReply(ReplyCode::NotFound);
         if (result.outcome != KeyOutcome::Running && result.outcome != KeyOutcome::Unknown)
             return keyReply(ReplyCode::KeyFinished, &found->second);
+        state.runningKeys.erase(c.key);
         result.outcome = KeyOutcome::Released;
         return keyReply(ReplyCode::Accepted);
     }
 
     CommandReply operator()(const AbandonKeys &c) const
     {
-        for (auto &[key, record] : state.keys) {
-            const KeyOwner &owner = record.result.owner;
-            const bool gone = owner.entry == c.entry && owner.incarnation < c.belowIncarnation;
-            if (gone && record.result.outcome == KeyOutcome::Running)
-                record.result.outcome = KeyOutcome::Unknown;
-        }
+        std::erase_if(state.runningKeys, [&](const std::string &key) {
+            KeyResult &result = state.keys.at(key).result;
+            const bool gone =
+                    result.owner.entry == c.entry && result.owner.incarnation < c.belowIncarnation;
+            if (gone)
+                result.outcome = KeyOutcome::Unknown;
+            return gone;
+        });
         return keyReply(ReplyCode::Accepted);
     }
 
@@ -120,17 +127,29 @@
         record.result.owner = c.owner;
         state.keys[c.key] = record;
         state.keyOrder.push_back(c.key);
+        state.runningKeys.insert(c.key);
         return keyReply(ReplyCode::KeyGranted, &record);
     }
 
+    void rememberRefusal(KeyRecord &record, const KeyOwner &owner) const
+    {
+        record.refused.push_back(owner);
+        if (record.refused.size() > state.limits.refusedOwners)
+            record.refused.pop_front();
+    }
+
     // A claim of the owner that gave the key back is a late copy and must not hold it again.
     CommandReply claimReleased(const ClaimKey &c, KeyRecord &record) const
     {
-        if (record.result.owner == c.owner)
+        const bool refused = std::find(record.refused.begin(), record.refused.end(), c.owner)
+                             != record.refused.end();
+        if (record.result.owner == c.owner || refused)
             return keyReply(ReplyCode::Invalid);
+        rememberRefusal(record, record.result.owner);
         record.digest = c.digest;
         record.result = KeyResult{};
         record.result.owner = c.owner;
+        state.runningKeys.insert(c.key);
         return keyReply(ReplyCode::KeyGranted, &record);
     }
 
--- a/src/libserving/controlstate.h
+++ b/src/libserving/controlstate.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 
@@ -35,6 +36,9 @@
     std::uint64_t digest = 0;
     std::uint64_t claimedAtMs = 0;
     KeyResult result;
+    // Owners whose claims were refused. A late copy of such a claim must not be granted, since its
+    // request has ended.
+    std::deque<KeyOwner> refused;
 
     bool operator==(const KeyRecord &) const = default;
 };
@@ -45,6 +49,7 @@
     std::size_t operators = 1000;
     std::size_t keys = 200'000;
     std::uint64_t keyRetentionMs = 24ull * 3600 * 1000;
+    std::size_t refusedOwners = 64;       // remembered for each key
     std::size_t keyBodyBytes = 16 * 1024; // longer answers are remembered without their body
 };
 
@@ -55,8 +60,9 @@
     std::map<std::string, OperatorReplies> replies;
     std::deque<std::string> operatorOrder; // operators by first use
     std::map<std::string, KeyRecord> keys;
-    std::deque<std::string> keyOrder; // keys by claim time
-    std::uint64_t wallTimeMs = 0;     // latest proposer time seen, never goes back
+    std::deque<std::string> keyOrder;  // keys by claim time
+    std::set<std::string> runningKeys; // keys whose outcome is open
+    std::uint64_t wallTimeMs = 0;      // latest proposer time seen, never goes back
 };
 
 // Applies a committed command at log index `index`.
--- a/src/libserving/dispatch.cpp
+++ b/src/libserving/dispatch.cpp
@@ -96,6 +96,12 @@
     out.start.push_back({request, target.id, target.address, target.group});
 }
 
+bool hasOpenTarget(const DispatchPool &pool)
+{
+    return std::any_of(pool.targets.begin(), pool.targets.end(),
+                       [](const auto &item) { return item.second.isOpen; });
+}
+
 bool hasRoom(const DispatchPool &pool, TimePoint now)
 {
     return std::any_of(pool.targets.begin(), pool.targets.end(),
@@ -280,6 +286,9 @@
             out.cancel.push_back(id);
     }
     pool.targets = std::move(next);
+    // Another dispatcher may have an open group.
+    if (!hasOpenTarget(pool))
+        refuseWaiting(state, poolId, Reason::NoCapacity, out);
     startWaiting(state, pool, now, out);
 }
 
@@ -288,7 +297,7 @@
     if (isKnown(state, request, out))
         return;
     const auto found = state.pools.find(request.pool);
-    if (found == state.pools.end() || found->second.targets.empty()) {
+    if (found == state.pools.end() || !hasOpenTarget(found->second)) {
         refuseSubmission(request, Reason::NoCapacity, state.options.noCapacityRetryAfter, out);
         return;
     }
--- a/src/libserving/dispatch.h
+++ b/src/libserving/dispatch.h
@@ -128,7 +128,8 @@
     bool isOpen = false;
 };
 
-// Replaces the pool's targets. Requests that run on a target that is gone are reported as lost.
+// Replaces the pool's targets. Requests that run on a target that is gone are cancelled; waiting
+// ones are refused when no target is open any more.
 void setTargets(DispatchState &state, const std::string &pool, bool isService,
                 const std::vector<TargetFacts> &targets, TimePoint now, DispatchOutput &out);
 
--- a/src/libserving/limiter.cpp
+++ b/src/libserving/limiter.cpp
@@ -39,14 +39,14 @@
 
 void addSuccess(RetryBudget &budget)
 {
-    budget.tokens = std::min(budget.maxTokens, budget.tokens + budget.perSuccess);
+    budget.credits = std::min(budget.maxCredits, budget.credits + 1);
 }
 
 bool takeRetry(RetryBudget &budget)
 {
-    if (budget.tokens < 1)
+    if (budget.credits < budget.retryCost)
         return false;
-    budget.tokens -= 1;
+    budget.credits -= budget.retryCost;
     return true;
 }
 
--- a/src/libserving/limiter.h
+++ b/src/libserving/limiter.h
@@ -30,9 +30,9 @@
 // Retries as a share of recent successes.
 struct RetryBudget
 {
-    double tokens = 10;
-    double maxTokens = 100;
-    double perSuccess = 0.1; // retries earned by each success
+    std::uint32_t credits = 100;
+    std::uint32_t maxCredits = 1000;
+    std::uint32_t retryCost = 10; // successes that pay for one retry
 };
 
 void addSuccess(RetryBudget &budget);
--- a/src/libserving/origin.cpp
+++ b/src/libserving/origin.cpp
@@ -157,12 +157,28 @@
     origin.dispatcher.clear();
 }
 
+// A deployment whose groups are all closed for a moment gets a little time before its requests are
+// refused. Overload is refused at once.
+bool mayHold(const OriginState &state, const OriginRequest &origin, TimePoint now)
+{
+    const bool overloaded = origin.last.reason == Reason::Overloaded;
+    const TimePoint next = now + state.options.holdInterval;
+    return !overloaded && !origin.callerGone && next < origin.holdUntil
+           && next < origin.request.deadline;
+}
+
 void startAttempt(OriginState &state, std::uint64_t number, TimePoint now, OriginOutput &out)
 {
     OriginRequest &origin = state.requests.at(number);
     EntryId to = state.self;
     if (!origin.request.isService) {
         const DispatcherCandidate *candidate = chooseDispatcher(state, origin);
+        if (!candidate && mayHold(state, origin, now)) {
+            origin.phase = OriginPhase::Holding;
+            origin.nextTry = now + state.options.holdInterval;
+            origin.refusedBy.clear();
+            return;
+        }
         if (!candidate) {
             const Duration after = std::max<Duration>(origin.last.retryAfter,
                                                       state.options.noDispatcherRetryAfter);
@@ -182,15 +198,23 @@
     out.dispatch.push_back({to, origin.request});
 }
 
+// The dispatcher had no room; nothing was tried on an endpoint.
+bool isRefusal(const AttemptReport &report)
+{
+    return report.reason == Reason::NoCapacity || report.reason == Reason::Overloaded;
+}
+
 bool mayRetry(OriginState &state, const OriginRequest &origin, const AttemptReport &report,
               TimePoint now)
 {
     if (origin.callerGone || origin.phase == OriginPhase::Cancelling)
         return false;
-    if (origin.request.attempt >= state.options.maxAttempts || origin.request.deadline <= now)
+    if (origin.request.deadline <= now)
         return false;
-    if (report.reason == Reason::NoCapacity || report.reason == Reason::Overloaded)
+    if (isRefusal(report))
         return !origin.request.isService;
+    if (origin.request.attempt - origin.refusals >= state.options.maxAttempts)
+        return false;
     if (report.reason == Reason::DeadlinePassed || report.reason == Reason::CallerGone)
         return false;
     const bool safe = report.result == AttemptResult::NotStarted || origin.request.isIdempotent;
@@ -305,6 +329,10 @@
             finishNotRun(state, number, Reason::KeyUnavailable,
                          state.options.noDispatcherRetryAfter, now, out);
         return;
+    case OriginPhase::Holding:
+        if (now >= origin.nextTry)
+            startAttempt(state, number, now, out);
+        return;
     case OriginPhase::Dispatched:
         if (now < origin.request.deadline)
             return;
@@ -350,6 +378,7 @@
     origin.request = std::move(request);
     origin.key = std::move(key);
     origin.digest = digest;
+    origin.holdUntil = now + state.options.capacityWait;
     if (state.requests.size() >= state.options.maxRequests) {
         RequestFinish result = refusal(Reason::Overloaded, state.options.noDispatcherRetryAfter);
         result.id = id;
@@ -373,8 +402,10 @@
     if (!origin)
         return;
     const std::uint64_t number = report.id.number;
-    if (report.reason == Reason::NoCapacity || report.reason == Reason::Overloaded)
+    if (isRefusal(report)) {
         origin->refusedBy.insert(origin->dispatcher);
+        ++origin->refusals;
+    }
     releaseDispatcher(state, *origin);
     origin->last = report;
     origin->mayHaveRun = origin->mayHaveRun || report.result == AttemptResult::Lost
@@ -435,6 +466,10 @@
         return;
     OriginRequest &origin = found->second;
     origin.callerGone = true;
+    if (origin.phase == OriginPhase::Holding) {
+        startAttempt(state, id.number, now, out);
+        return;
+    }
     if (origin.phase != OriginPhase::Dispatched)
         return;
     origin.phase = OriginPhase::Cancelling;
--- a/src/libserving/origin.h
+++ b/src/libserving/origin.h
@@ -17,8 +17,10 @@
 
 struct OriginOptions
 {
-    std::uint32_t maxAttempts = 4;
-    Duration cancelGrace = std::chrono::milliseconds(500); // wait for a report after a cancel
+    std::uint32_t maxAttempts = 4;                   // not counting refusals for want of room
+    Duration capacityWait = std::chrono::seconds(4); // for a group to open
+    Duration holdInterval = std::chrono::milliseconds(200); // between tries meanwhile
+    Duration cancelGrace = std::chrono::milliseconds(500);  // wait for a report after a cancel
     Duration keyRetryInterval = std::chrono::milliseconds(300);
     Duration keyRunningRetryAfter = std::chrono::seconds(1);
     Duration checkInterval = std::chrono::seconds(1); // of requests at another entry
@@ -35,6 +37,7 @@
 
 enum class OriginPhase : std::uint8_t {
     ClaimingKey,
+    Holding, // no dispatcher has room, the next try is due
     Dispatched,
     Cancelling,   // deadline passed, waiting for the dispatcher's report
     FinishingKey, // outcome known, being recorded under the key
@@ -49,7 +52,10 @@
     OriginPhase phase = OriginPhase::Dispatched;
     EntryId dispatcher;
     std::set<EntryId> refusedBy; // dispatchers without capacity for this request
-    bool mayHaveRun = false;     // an earlier attempt was lost or failed
+    std::uint32_t refusals = 0;  // attempts that ended for want of room
+    TimePoint holdUntil{};       // end of the wait for room
+    TimePoint nextTry{};
+    bool mayHaveRun = false; // an earlier attempt was lost or failed
     bool claimSent = false;
     bool callerGone = false;
     TimePoint phaseDeadline{};
--- a/src/libserving/peercodec.cpp
+++ b/src/libserving/peercodec.cpp
@@ -213,13 +213,13 @@
 template <class A>
 void serialize(A &a, KeyRecord &r)
 {
-    a(r.digest, r.claimedAtMs, r.result);
+    a(r.digest, r.claimedAtMs, r.result, r.refused);
 }
 
 template <class A>
 void serialize(A &a, ControlState &s)
 {
-    a(s.config, s.replies, s.operatorOrder, s.keys, s.keyOrder, s.wallTimeMs);
+    a(s.config, s.replies, s.operatorOrder, s.keys, s.keyOrder, s.runningKeys, s.wallTimeMs);
 }
 
 template <class A>
--- /dev/null
+++ b/tests/support/nodeworld.cpp
@@ -0,0 +1,531 @@
+#include "nodeworld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Trefoil {
+
+namespace {
+
+constexpr auto StepSpan = std::chrono::milliseconds(20);
+constexpr auto RunTime = std::chrono::milliseconds(120);
+constexpr auto LoadTime = std::chrono::milliseconds(400);
+constexpr const char *DeploymentName = "desk-model";
+constexpr const char *ServiceName = "ledger";
+
+SeatSet initialSeats(std::size_t count)
+{
+    SeatSet seats;
+    for (std::size_t i = 0; i < count; ++i)
+        seats.push_back({i + 1, "entry-" + std::to_string(i), true});
+    return seats;
+}
+
+} // namespace
+
+NodeWorld::NodeWorld(const NodeWorldOptions &options)
+    : options_(options)
+    , rng_(options.seed)
+    , now_(std::chrono::hours(1))
+{
+    const std::size_t count = options.seats + options.plainEntries;
+    entries_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        Entry &entry = entries_[i];
+        const std::string number = std::to_string(i);
+        entry.settings.self.entry = "entry-" + number;
+        entry.settings.self.peerAddress = "peer-" + number;
+        entry.settings.self.callerAddress = "caller-" + number;
+        entry.settings.self.domain = "domain-" + std::to_string(i % 3);
+        entry.settings.seeds = {"peer-0", "peer-1", "peer-2"};
+        entry.settings.freshnessBound = options.freshnessBound;
+        entry.settings.entryListLifetime = std::chrono::seconds(2);
+        if (i < options.seats) {
+            entry.disk = std::make_shared<RecoveredLog>();
+            entry.disk->seat = i + 1;
+            entry.disk->initialSeats = initialSeats(options.seats);
+            entry.disk->snapshot = std::make_shared<RaftSnapshot>();
+        }
+        boot(i);
+    }
+    for (std::size_t i = 0; i < options.engines + options.services; ++i) {
+        const bool engine = i < options.engines;
+        Endpoint endpoint;
+        endpoint.vm.id = (engine ? "engine-" : "service-") + std::to_string(i);
+        endpoint.vm.address = "vm-" + std::to_string(i);
+        endpoint.vm.domain = "domain-" + std::to_string(i % 3);
+        endpoint.vm.fabric = engine ? "fabric-" + std::to_string(i % 2) : "";
+        endpoint.vm.role = engine ? VmRole::Engine : VmRole::Service;
+        endpoint.vm.service = engine ? "" : ServiceName;
+        endpoint.vm.accelerators = 4;
+        endpoint.vm.slots = 4;
+        endpoint.vm.incarnation = 1;
+        endpoint.entry = i % count;
+        endpoint.nextReport = now_ + std::chrono::seconds(2);
+        endpoints_.push_back(endpoint);
+    }
+}
+
+void NodeWorld::boot(std::size_t index)
+{
+    Entry &entry = entries_[index];
+    entry.settings.incarnation = entry.process;
+    entry.settings.randomSeed = rng_();
+    std::optional<ControlSeatState> seat;
+    if (entry.disk) {
+        ControlSeatOptions options;
+        options.compactEvery = 64;
+        seat = makeControlSeat(*entry.disk, options, rng_(), now_);
+    }
+    entry.node = makeNode(entry.settings, std::move(seat), now_);
+    entry.held.clear();
+    entry.isUp = true;
+}
+
+Duration NodeWorld::delay()
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<int>(1, 5)(rng_));
+}
+
+void NodeWorld::later(Duration span, std::function<void()> run)
+{
+    events_.push_back({now_ + span, nextOrder_++, std::move(run)});
+    std::push_heap(events_.begin(), events_.end(), std::greater<>());
+}
+
+bool NodeWorld::isRunning(const Entry &entry) const
+{
+    return entry.isUp && now_ >= entry.pausedUntil;
+}
+
+std::size_t NodeWorld::indexOf(const EntryId &entry) const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        if (entries_[i].settings.self.entry == entry)
+            return i;
+    }
+    return entries_.size();
+}
+
+std::size_t NodeWorld::indexOfAddress(const std::string &address) const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        const Member &self = entries_[i].settings.self;
+        if (self.peerAddress == address || self.callerAddress == address)
+            return i;
+    }
+    return entries_.size();
+}
+
+NodeWorld::Endpoint *NodeWorld::findEndpoint(const std::string &address)
+{
+    const auto found = std::find_if(endpoints_.begin(), endpoints_.end(),
+                                    [&](const Endpoint &e) { return e.vm.address == address; });
+    return found == endpoints_.end() ? nullptr : &*found;
+}
+
+void NodeWorld::advance(Duration span)
+{
+    const TimePoint end = now_ + span;
+    while (now_ < end) {
+        now_ += StepSpan;
+        while (!events_.empty() && events_.front().at <= now_) {
+            std::pop_heap(events_.begin(), events_.end(), std::greater<>());
+            const Event event = std::move(events_.back());
+            events_.pop_back();
+            event.run();
+        }
+        for (std::size_t i = 0; i < entries_.size(); ++i) {
+            if (!isRunning(entries_[i]))
+                continue;
+            for (const auto &run : std::exchange(entries_[i].held, {}))
+                run();
+            NodeOutput out;
+            nodeTick(entries_[i].node, now_, out);
+            take(i, out);
+        }
+        for (Endpoint &endpoint : endpoints_) {
+            if (now_ >= endpoint.nextReport && !endpoint.isSilent)
+                reportVm(endpoint);
+        }
+        check();
+    }
+}
+
+// Runs a handler on an entry's node, later when the entry is paused.
+void NodeWorld::toEntry(std::size_t index, std::function<void(NodeOutput &)> handle)
+{
+    Entry &entry = entries_[index];
+    if (!entry.isUp)
+        return;
+    const std::uint64_t process = entry.process;
+    const auto run = [this, index, process, handle = std::move(handle)] {
+        if (entries_[index].process != process)
+            return;
+        NodeOutput out;
+        handle(out);
+        take(index, out);
+    };
+    if (now_ < entry.pausedUntil)
+        entry.held.push_back(run);
+    else
+        run();
+}
+
+void NodeWorld::take(std::size_t index, NodeOutput &out)
+{
+    for (const auto &[to, message] : out.peers)
+        sendPeer(index, to, message);
+    for (const GossipSend &gossip : out.gossip)
+        sendGossip(index, gossip);
+    const std::uint64_t process = entries_[index].process;
+    for (const SeatDiskWork &work : out.disk) {
+        later(std::chrono::milliseconds(2), [this, index, process, work] {
+            if (entries_[index].process != process || !entries_[index].isUp)
+                return;
+            persist(*entries_[index].disk, work.write);
+            toEntry(index, [this, index, work](NodeOutput &next) {
+                for (const RaftMessage &message : work.sendAfterSync) {
+                    for (const Seat &seat : entries_[index].node.seat->raft.seats) {
+                        if (seat.id == message.to)
+                            next.peers.emplace_back(seat.entry, message);
+                    }
+                }
+                nodeDiskSynced(entries_[index].node, work.lastIndex, work.lastTerm, now_, next);
+            });
+        });
+    }
+    for (const StartAttempt &start : out.start)
+        runAttempt(index, start);
+    for (const RequestId &id : out.cancelAttempts)
+        cancelled_.insert(id);
+    for (const SessionAnswer &answer : out.answers) {
+        if (!answers_.emplace(answer.session, answer.finish).second)
+            throw NodeViolation("two answers for one session");
+    }
+    for (const EngineOrder &order : out.orders)
+        takeOrder(index, order);
+    for (const EndpointReply &reply : out.endpointReplies)
+        takeEndpointReply(reply);
+    for (const OperatorReply &reply : out.operatorReplies)
+        replies_[reply.session] = reply;
+}
+
+void NodeWorld::persist(RecoveredLog &disk, const RaftDiskWrite &write)
+{
+    if (write.hardState)
+        disk.hard = *write.hardState;
+    if (write.snapshot) {
+        disk.snapshot = write.snapshot;
+        disk.entries = write.append;
+        return;
+    }
+    if (write.truncateFrom)
+        std::erase_if(disk.entries,
+                      [&](const LogEntry &e) { return e.index >= *write.truncateFrom; });
+    disk.entries.insert(disk.entries.end(), write.append.begin(), write.append.end());
+}
+
+void NodeWorld::sendPeer(std::size_t from, const EntryId &to, const PeerMessage &message)
+{
+    const std::size_t index = indexOf(to);
+    if (index == entries_.size() || cuts_.contains({from, index}))
+        return;
+    const std::string bytes = encodePeerMessage(message);
+    peerBytes_ += bytes.size();
+    const EntryId sender = entries_[from].settings.self.entry;
+    later(delay(), [this, index, sender, bytes] {
+        toEntry(index, [this, index, sender, bytes](NodeOutput &out) {
+            nodePeerMessage(entries_[index].node, sender, decodePeerMessage(bytes), now_, out);
+        });
+    });
+}
+
+void NodeWorld::sendGossip(std::size_t from, const GossipSend &gossip)
+{
+    const std::size_t index = indexOfAddress(gossip.address);
+    if (index == entries_.size() || cuts_.contains({from, index}))
+        return;
+    const std::string bytes = encodeGossip(gossip.message);
+    gossipBytes_ += bytes.size();
+    const std::string sender = entries_[from].settings.self.peerAddress;
+    later(delay(), [this, index, sender, bytes] {
+        toEntry(index, [this, index, sender, bytes](NodeOutput &out) {
+            nodeGossip(entries_[index].node, decodeGossip(bytes), sender, now_, out);
+        });
+    });
+}
+
+void NodeWorld::runAttempt(std::size_t index, const StartAttempt &start)
+{
+    Endpoint *endpoint = findEndpoint(start.address);
+    lastStarts_[endpoint->vm.id] = now_;
+    AttemptEnd end;
+    end.id = start.request.id;
+    end.attempt = start.request.attempt;
+    const bool refused =
+            endpoint->isSilent
+            || (start.group > 0 && (start.group != endpoint->group || now_ < endpoint->readyAt));
+    if (!refused) {
+        ++runs_[start.request.payload->body];
+        ++endpoint->inFlight;
+    }
+    end.result = refused ? AttemptResult::NotStarted : AttemptResult::Completed;
+    end.reason = refused ? Reason::EndpointRefused : Reason::None;
+    end.status = refused ? 0 : 200;
+    end.body = start.request.payload->body;
+    const std::string address = start.address;
+    later(RunTime, [this, index, end, refused, address]() mutable {
+        if (!refused)
+            --findEndpoint(address)->inFlight;
+        if (cancelled_.erase(end.id) > 0)
+            end.result = AttemptResult::Lost;
+        toEntry(index, [this, index, end](NodeOutput &out) {
+            nodeAttemptEnd(entries_[index].node, end, now_, out);
+        });
+    });
+}
+
+void NodeWorld::takeOrder(std::size_t index, const EngineOrder &order)
+{
+    later(delay(), [this, index, order] {
+        Endpoint *endpoint = findEndpoint(order.address);
+        EngineOrderEnd end{order.vm, order.group, false};
+        if (!endpoint->isSilent && order.group >= endpoint->group) {
+            end.isAccepted = true;
+            endpoint->group = order.group;
+            endpoint->readyAt = now_ + LoadTime;
+        }
+        toEntry(index, [this, index, end](NodeOutput &out) {
+            nodeOrderEnd(entries_[index].node, end, now_, out);
+        });
+    });
+}
+
+void NodeWorld::reportVm(Endpoint &endpoint)
+{
+    const std::size_t index = endpoint.entry;
+    const std::uint64_t session = nextSession_++;
+    endpointSessions_[session] = static_cast<std::size_t>(&endpoint - endpoints_.data());
+    endpoint.nextReport = now_ + std::chrono::milliseconds(300);
+    if (!isRunning(entries_[index])) {
+        endpoint.entry = (index + 1) % entries_.size();
+        return;
+    }
+    if (!endpoint.isAnnounced) {
+        endpoint.nextReport = now_ + std::chrono::seconds(1);
+        toEntry(index, [this, index, session, vm = endpoint.vm](NodeOutput &out) {
+            nodeAnnounce(entries_[index].node, {session, vm}, now_, out);
+        });
+        return;
+    }
+    VmReport report;
+    report.vm = endpoint.vm.id;
+    report.incarnation = endpoint.vm.incarnation;
+    report.group = endpoint.group;
+    report.inFlight = endpoint.inFlight;
+    if (endpoint.vm.role == VmRole::Service)
+        report.state = EngineState::Ready;
+    else if (endpoint.group > 0)
+        report.state = now_ >= endpoint.readyAt ? EngineState::Ready : EngineState::Loading;
+    toEntry(index, [this, index, session, report](NodeOutput &out) {
+        nodeHeartbeat(entries_[index].node, {session, report}, now_, out);
+    });
+}
+
+void NodeWorld::takeEndpointReply(const EndpointReply &reply)
+{
+    const auto found = endpointSessions_.find(reply.session);
+    if (found == endpointSessions_.end())
+        return;
+    Endpoint &endpoint = endpoints_[found->second];
+    endpointSessions_.erase(found);
+    if (!reply.isAccepted) {
+        endpoint.entry = (endpoint.entry + 1) % entries_.size();
+        return;
+    }
+    endpoint.isAnnounced = !reply.mustAnnounce;
+    const std::size_t next = indexOfAddress(reply.reportTo);
+    if (next < entries_.size())
+        endpoint.entry = next;
+}
+
+std::uint64_t NodeWorld::submitDraft(std::size_t entryNumber)
+{
+    const std::size_t index = entryNumber % entries_.size();
+    const std::uint64_t session = nextSession_++;
+    SubmitRequest submit;
+    submit.session = session;
+    submit.request.workspace = "haldar";
+    submit.request.pool = DeploymentName;
+    submit.request.isIdempotent = true;
+    submit.request.buffered = true;
+    submit.request.deadline = now_ + std::chrono::seconds(8);
+    submit.request.payload = std::make_shared<CallPayload>(
+            CallPayload{"POST", "/", "", "draft-" + std::to_string(session)});
+    toEntry(index, [this, index, submit](NodeOutput &out) {
+        nodeSubmit(entries_[index].node, submit, now_, out);
+    });
+    return session;
+}
+
+std::uint64_t NodeWorld::submitCall(std::size_t entryNumber, const std::string &key)
+{
+    const std::size_t index = entryNumber % entries_.size();
+    const std::uint64_t session = nextSession_++;
+    SubmitRequest submit;
+    submit.session = session;
+    submit.request.workspace = "haldar";
+    submit.request.pool = std::string("service/") + ServiceName;
+    submit.request.isService = true;
+    submit.request.buffered = true;
+    submit.request.deadline = now_ + std::chrono::seconds(5);
+    submit.key = key;
+    const std::string body = key.empty() ? "call-" + std::to_string(session) : key;
+    submit.request.payload = std::make_shared<CallPayload>(CallPayload{"POST", "/", "", body});
+    toEntry(index, [this, index, submit](NodeOutput &out) {
+        nodeSubmit(entries_[index].node, submit, now_, out);
+    });
+    return session;
+}
+
+std::uint64_t NodeWorld::operate(std::size_t entryNumber, const std::string &text,
+                                 std::uint64_t number)
+{
+    const std::size_t index = entryNumber % entries_.size();
+    const std::uint64_t session = nextSession_++;
+    OperatorRequest request;
+    request.session = session;
+    request.operatorName = "ann";
+    request.number = number;
+    request.text = text;
+    toEntry(index, [this, index, request](NodeOutput &out) {
+        nodeOperator(entries_[index].node, request, now_, out);
+    });
+    return session;
+}
+
+void NodeWorld::cut(std::size_t from, std::size_t to, bool bothWays)
+{
+    from %= entries_.size();
+    to %= entries_.size();
+    cuts_.insert({from, to});
+    if (bothWays)
+        cuts_.insert({to, from});
+}
+
+void NodeWorld::isolate(std::size_t entry)
+{
+    for (std::size_t other = 0; other < entries_.size(); ++other) {
+        if (other != entry % entries_.size())
+            cut(entry, other, true);
+    }
+}
+
+void NodeWorld::heal()
+{
+    cuts_.clear();
+}
+
+void NodeWorld::crash(std::size_t entryNumber)
+{
+    entries_[entryNumber % entries_.size()].isUp = false;
+}
+
+void NodeWorld::restart(std::size_t entryNumber)
+{
+    Entry &entry = entries_[entryNumber % entries_.size()];
+    if (entry.isUp)
+        return;
+    entry.process += 1;
+    boot(entryNumber % entries_.size());
+}
+
+void NodeWorld::pause(std::size_t entryNumber, Duration span)
+{
+    entries_[entryNumber % entries_.size()].pausedUntil = now_ + span;
+}
+
+void NodeWorld::drain(std::size_t entryNumber)
+{
+    const std::size_t index = entryNumber % entries_.size();
+    toEntry(index, [this, index](NodeOutput &out) { nodeDrain(entries_[index].node, now_, out); });
+}
+
+void NodeWorld::silenceVm(std::size_t engine, bool silent)
+{
+    endpoints_[engine % endpoints_.size()].isSilent = silent;
+}
+
+void NodeWorld::restartVm(std::size_t engine)
+{
+    Endpoint &endpoint = endpoints_[engine % endpoints_.size()];
+    endpoint.vm.incarnation += 1;
+    endpoint.group = 0;
+    endpoint.isAnnounced = false;
+    endpoint.isSilent = false;
+}
+
+void NodeWorld::leaveVm(const VmId &vm)
+{
+    const auto endpoint = std::find_if(endpoints_.begin(), endpoints_.end(),
+                                       [&vm](const Endpoint &e) { return e.vm.id == vm; });
+    const std::size_t index = endpoint->entry;
+    const LeaveRequest request{nextSession_++, vm, endpoint->vm.incarnation};
+    toEntry(index, [this, index, request](NodeOutput &out) {
+        nodeLeave(entries_[index].node, request, now_, out);
+    });
+}
+
+std::optional<std::size_t> NodeWorld::leader() const
+{
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        const auto &seat = entries_[i].node.seat;
+        if (isRunning(entries_[i]) && seat && isActingLeader(*seat, now_))
+            return i;
+    }
+    return std::nullopt;
+}
+
+std::size_t NodeWorld::openGates() const
+{
+    std::size_t open = 0;
+    for (const Entry &entry : entries_) {
+        if (!isRunning(entry))
+            continue;
+        open += static_cast<std::size_t>(
+                std::count_if(entry.node.gates.begin(), entry.node.gates.end(),
+                              [](const auto &gate) { return gate.second == GateStatus::Open; }));
+    }
+    return open;
+}
+
+TimePoint NodeWorld::lastStart(const VmId &vm) const
+{
+    const auto found = lastStarts_.find(vm);
+    return found == lastStarts_.end() ? TimePoint{} : found->second;
+}
+
+void NodeWorld::check()
+{
+    std::map<VmId, EntryId> users;
+    for (const Entry &entry : entries_) {
+        if (!isRunning(entry))
+            continue;
+        for (const auto &[id, gate] : entry.node.gates) {
+            if (gate != GateStatus::Open)
+                continue;
+            const auto group = entry.node.feed.config.groups.find(id);
+            if (group == entry.node.feed.config.groups.end())
+                throw NodeViolation("an open gate without a group");
+            for (const VmId &vm : group->second.vms) {
+                const auto [user, added] = users.emplace(vm, entry.settings.self.entry);
+                if (!added)
+                    throw NodeViolation("VM " + vm + " is in use by " + user->second + " and "
+                                        + entry.settings.self.entry);
+            }
+        }
+    }
+}
+
+} // namespace Trefoil
--- a/tests/support/requestworld.cpp
+++ b/tests/support/requestworld.cpp
@@ -82,7 +82,7 @@
     if (chance(loss_))
         return;
     if (chance(DuplicateRate))
-        later(randomDelay(1, 200), run);
+        later(randomDelay(1, 2500), run);
     later(randomDelay(1, 40), std::move(run));
 }
 
@@ -360,8 +360,7 @@
     });
 }
 
-void RequestWorld::endAttempt(std::size_t entryIndex, std::uint64_t process,
-                              const AttemptEnd &end)
+void RequestWorld::endAttempt(std::size_t entryIndex, std::uint64_t process, const AttemptEnd &end)
 {
     Entry &entry = entries_[entryIndex];
     if (entry.process != process)
@@ -429,6 +428,32 @@
         throw RequestViolation("two answers for key " + key);
 }
 
+// No key stays reserved by a call that is over.
+void RequestWorld::checkKeysAreFree()
+{
+    // The leader goes on abandoning the keys of processes that are gone.
+    for (const Entry &entry : entries_) {
+        Proposal proposal;
+        proposal.command = AbandonKeys{entry.name, entry.process};
+        applyProposal(control_, proposal, ++controlIndex_);
+    }
+    std::set<std::string> keys;
+    for (const auto &[id, caller] : callers_)
+        keys.insert(caller.spec.key);
+    keys.erase("");
+    for (const std::string &key : keys) {
+        CallSpec spec;
+        spec.key = key;
+        spec.call = static_cast<std::uint32_t>(std::stoul(key.substr(key.find('-') + 1)));
+        submit(0, spec);
+    }
+    advance(std::chrono::seconds(6));
+    for (const auto &[key, record] : control_.keys) {
+        if (record.result.outcome == KeyOutcome::Running)
+            throw RequestViolation("a key stays reserved: " + key);
+    }
+}
+
 void RequestWorld::settle()
 {
     loss_ = 0;
@@ -436,6 +461,7 @@
     for (std::size_t i = 0; i < entries_.size(); ++i)
         closeTargets(i, false);
     advance(std::chrono::seconds(15));
+    checkKeysAreFree();
     for (const auto &[id, caller] : callers_) {
         if (!caller.isAnswered && !caller.isGone)
             throw RequestViolation("no answer: " + toString(id));
--- a/tests/support/requestworld.h
+++ b/tests/support/requestworld.h
@@ -95,6 +95,7 @@
     void relay(const RequestId &id, std::uint64_t first, std::uint64_t count);
     void checkFinish(const RequestFinish &finish);
     void checkKeyed(const Caller &caller, const RequestFinish &finish);
+    void checkKeysAreFree();
     Entry *findEntry(const EntryId &name);
     bool chance(double probability);
     Duration randomDelay(int lowMs, int highMs);
