--- /dev/null
+++ b/benchmarks/bench_control.cpp
@@ -0,0 +1,202 @@
+#include "libcoord/coord.h"
+#include "libnode/controlseat.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <utility>
+
+// Replicated log on real files in one process: commits a second and their latency with three and
+// five seats, each commit synced, and the time to read a long log back.
+
+using namespace Trefoil;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t Commits = 2000;
+constexpr std::size_t Batches[] = {1, 16, 128};
+
+struct Seat
+{
+    std::unique_ptr<LogStore> store;
+    ControlSeatState core;
+};
+
+// Seats whose messages are delivered at once; every disk write is synced before it is answered.
+class Cluster
+{
+public:
+    Cluster(const std::string &folder, std::size_t count)
+    {
+        SeatSet seats;
+        for (std::size_t i = 0; i < count; ++i)
+            seats.push_back({i + 1, "entry", true});
+        for (std::size_t i = 0; i < count; ++i) {
+            Seat seat;
+            seat.store = std::make_unique<LogStore>(
+                    openPosixFolder(folder + "/" + std::to_string(count) + "-" + std::to_string(i)));
+            seat.store->createIdentity(i + 1, seats);
+            ControlSeatOptions options;
+            options.compactEvery = 1'000'000;
+            seat.core = makeControlSeat(seat.store->recover(), options, i + 1, now());
+            seats_.push_back(std::move(seat));
+        }
+        while (!leader())
+            tick();
+    }
+
+    void commit(std::size_t batch)
+    {
+        tick();
+        while (!leader())
+            tick();
+        const std::size_t index = *leader();
+        std::size_t open = 0;
+        ControlSeatOutput out;
+        for (std::size_t i = 0; i < batch; ++i) {
+            Proposal proposal;
+            proposal.identity = {"bench", ++number_, 1};
+            proposal.command = SetWorkspace{{"w" + std::to_string(number_ % 100), 2}};
+            open += seatPropose(seats_[index].core, proposal, now(), out) ? 1 : 0;
+        }
+        answered_ = 0;
+        take(index, out);
+        while (answered_ < open) {
+            deliver();
+            if (queue_.empty() && answered_ < open)
+                tick();
+        }
+    }
+
+private:
+    static TimePoint now() { return Clock::now(); }
+
+    std::optional<std::size_t> leader() const
+    {
+        for (std::size_t i = 0; i < seats_.size(); ++i) {
+            if (isActingLeader(seats_[i].core, now()))
+                return i;
+        }
+        return std::nullopt;
+    }
+
+    void tick()
+    {
+        for (std::size_t i = 0; i < seats_.size(); ++i) {
+            ControlSeatOutput out;
+            seatTick(seats_[i].core, now(), out);
+            take(i, out);
+        }
+        deliver();
+    }
+
+    void deliver()
+    {
+        // What arrives together is written together, as the daemon's disk duty does.
+        std::vector<ControlSeatOutput> outs(seats_.size());
+        for (const RaftMessage &message : std::exchange(queue_, {}))
+            seatReceive(seats_[message.to - 1].core, message, now(), outs[message.to - 1]);
+        for (std::size_t i = 0; i < outs.size(); ++i)
+            take(i, outs[i]);
+    }
+
+    void take(std::size_t index, ControlSeatOutput &out)
+    {
+        answered_ += out.results.size();
+        queue_.insert(queue_.end(), out.send.begin(), out.send.end());
+        if (out.disk.empty())
+            return;
+        std::vector<RaftDiskWrite> writes;
+        for (SeatDiskWork &work : out.disk)
+            writes.push_back(std::move(work.write));
+        seats_[index].store->write(writes);
+        for (SeatDiskWork &work : out.disk)
+            queue_.insert(queue_.end(), work.sendAfterSync.begin(), work.sendAfterSync.end());
+        ControlSeatOutput next;
+        seatSynced(seats_[index].core, out.disk.back().lastIndex, out.disk.back().lastTerm, now(),
+                   next);
+        take(index, next);
+    }
+
+    std::vector<Seat> seats_;
+    std::vector<RaftMessage> queue_;
+    std::uint64_t number_ = 0;
+    std::size_t answered_ = 0;
+};
+
+double milliseconds(Clock::duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+void measureCommits(const std::string &folder, std::size_t seats)
+{
+    Cluster cluster(folder, seats);
+    for (std::size_t batch : Batches) {
+        std::vector<double> latencies;
+        const auto start = Clock::now();
+        for (std::size_t done = 0; done < Commits; done += batch) {
+            const auto before = Clock::now();
+            cluster.commit(batch);
+            latencies.push_back(milliseconds(Clock::now() - before));
+        }
+        const double total = milliseconds(Clock::now() - start);
+        std::sort(latencies.begin(), latencies.end());
+        std::printf("| %zu | %zu | %.0f | %.2f | %.2f |\n", seats, batch,
+                    1000 * static_cast<double>(Commits) / total, latencies[latencies.size() / 2],
+                    latencies[latencies.size() * 99 / 100]);
+    }
+}
+
+void measureRecovery(const std::string &folder, std::size_t entries)
+{
+    const std::string path = folder + "/recovery-" + std::to_string(entries);
+    {
+        LogStore store(openPosixFolder(path));
+        store.createIdentity(1, {{1, "entry", true}});
+        store.recover();
+        RaftDiskWrite write;
+        for (LogIndex index = 1; index <= entries; ++index) {
+            LogEntry entry;
+            entry.index = index;
+            entry.term = 1;
+            entry.kind = EntryKind::Command;
+            Proposal proposal;
+            proposal.identity = {"bench", index, 1};
+            proposal.command = SetWorkspace{{"w" + std::to_string(index % 100), 2}};
+            entry.payload = encodeProposal(proposal);
+            write.append.push_back(std::move(entry));
+        }
+        store.write(std::span(&write, 1));
+    }
+    const auto start = Clock::now();
+    LogStore store(openPosixFolder(path));
+    ControlSeatState seat = makeControlSeat(store.recover(), {}, 1, Clock::now());
+    ControlSeatOutput out;
+    TimePoint now = Clock::now();
+    while (seat.appliedIndex < entries) {
+        now += std::chrono::seconds(1);
+        seatTick(seat, now, out);
+        for (const SeatDiskWork &work : std::exchange(out.disk, {}))
+            seatSynced(seat, work.lastIndex, work.lastTerm, now, out);
+    }
+    std::printf("| %zu | %.0f |\n", entries, milliseconds(Clock::now() - start));
+}
+
+} // namespace
+
+int main()
+{
+    const std::string folder = std::filesystem::temp_directory_path() / "trefoil-bench-control";
+    std::filesystem::remove_all(folder);
+    std::printf("| seats | commands in a batch | commits/s | p50 ms | p99 ms |\n|---|---|---|---|---|\n");
+    measureCommits(folder, 3);
+    measureCommits(folder, 5);
+    std::printf("\n| changes in the log | read and applied in ms |\n|---|---|\n");
+    measureRecovery(folder, 1'200);
+    measureRecovery(folder, 100'000);
+    std::filesystem::remove_all(folder);
+    return 0;
+}
--- a/src/libserving/controlstate.cpp
+++ b/src/libserving/controlstate.cpp
@@ -88,8 +88,11 @@
         if (found == state.keys.end())
             return addReleased(c);
         KeyResult &result = found->second.result;
-        if (result.owner != c.owner)
+        if (result.owner != c.owner) {
+            // The claim may still be under way; it must not be granted any more.
+            rememberRefusal(found->second, c.owner);
             return keyReply(ReplyCode::NotFound);
+        }
         if (result.outcome != KeyOutcome::Running && result.outcome != KeyOutcome::Unknown)
             return keyReply(ReplyCode::KeyFinished, &found->second);
         state.runningKeys.erase(c.key);
--- a/tests/support/nodeworld.cpp
+++ b/tests/support/nodeworld.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr auto StepSpan = std::chrono::milliseconds(20);
+constexpr std::size_t UdpOverheadBytes = 28; // IP and UDP headers
+constexpr std::size_t TcpOverheadBytes = 60; // frame, IP and TCP headers, its acknowledgement
 constexpr auto RunTime = std::chrono::milliseconds(120);
 constexpr auto LoadTime = std::chrono::milliseconds(400);
 constexpr const char *DeploymentName = "desk-model";
@@ -37,9 +39,15 @@
         entry.settings.self.peerAddress = "peer-" + number;
         entry.settings.self.callerAddress = "caller-" + number;
         entry.settings.self.domain = "domain-" + std::to_string(i % 3);
-        entry.settings.seeds = {"peer-0", "peer-1", "peer-2"};
+        for (std::size_t seed = 0; seed < options.seedEntries; ++seed)
+            entry.settings.seeds.push_back("peer-" + std::to_string(seed));
+        entryIndex_[entry.settings.self.entry] = i;
+        addressIndex_[entry.settings.self.peerAddress] = i;
+        addressIndex_[entry.settings.self.callerAddress] = i;
         entry.settings.freshnessBound = options.freshnessBound;
         entry.settings.entryListLifetime = std::chrono::seconds(2);
+        if (options.tune)
+            options.tune(entry.settings);
         if (i < options.seats) {
             entry.disk = std::make_shared<RecoveredLog>();
             entry.disk->seat = i + 1;
@@ -54,7 +62,7 @@
         endpoint.vm.id = (engine ? "engine-" : "service-") + std::to_string(i);
         endpoint.vm.address = "vm-" + std::to_string(i);
         endpoint.vm.domain = "domain-" + std::to_string(i % 3);
-        endpoint.vm.fabric = engine ? "fabric-" + std::to_string(i % 2) : "";
+        endpoint.vm.fabric = engine ? "fabric-" + std::to_string(i % options.fabrics) : "";
         endpoint.vm.role = engine ? VmRole::Engine : VmRole::Service;
         endpoint.vm.service = engine ? "" : ServiceName;
         endpoint.vm.accelerators = 4;
@@ -75,6 +83,7 @@
     if (entry.disk) {
         ControlSeatOptions options;
         options.compactEvery = 64;
+        options.raft = options_.raft;
         seat = makeControlSeat(*entry.disk, options, rng_(), now_);
     }
     entry.node = makeNode(entry.settings, std::move(seat), now_);
@@ -100,21 +109,22 @@
 
 std::size_t NodeWorld::indexOf(const EntryId &entry) const
 {
-    for (std::size_t i = 0; i < entries_.size(); ++i) {
-        if (entries_[i].settings.self.entry == entry)
-            return i;
-    }
-    return entries_.size();
+    const auto found = entryIndex_.find(entry);
+    return found == entryIndex_.end() ? entries_.size() : found->second;
 }
 
 std::size_t NodeWorld::indexOfAddress(const std::string &address) const
 {
-    for (std::size_t i = 0; i < entries_.size(); ++i) {
-        const Member &self = entries_[i].settings.self;
-        if (self.peerAddress == address || self.callerAddress == address)
-            return i;
-    }
-    return entries_.size();
+    const auto found = addressIndex_.find(address);
+    return found == addressIndex_.end() ? entries_.size() : found->second;
+}
+
+std::size_t NodeWorld::entriesBehind(ConfigVersion version) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(entries_.begin(), entries_.end(), [version](const Entry &entry) {
+                return entry.isUp && entry.node.feed.config.version < version;
+            }));
 }
 
 NodeWorld::Endpoint *NodeWorld::findEndpoint(const std::string &address)
@@ -233,6 +243,7 @@
         return;
     const std::string bytes = encodePeerMessage(message);
     peerBytes_ += bytes.size();
+    entries_[from].bytesSent += bytes.size() + TcpOverheadBytes;
     const EntryId sender = entries_[from].settings.self.entry;
     later(delay(), [this, index, sender, bytes] {
         toEntry(index, [this, index, sender, bytes](NodeOutput &out) {
@@ -248,6 +259,7 @@
         return;
     const std::string bytes = encodeGossip(gossip.message);
     gossipBytes_ += bytes.size();
+    entries_[from].bytesSent += bytes.size() + UdpOverheadBytes;
     const std::string sender = entries_[from].settings.self.peerAddress;
     later(delay(), [this, index, sender, bytes] {
         toEntry(index, [this, index, sender, bytes](NodeOutput &out) {
--- a/tests/support/nodeworld.h
+++ b/tests/support/nodeworld.h
@@ -28,7 +28,11 @@
     std::size_t engines = 6;      // two fabric domains
     std::size_t services = 2;
     std::uint64_t seed = 1;
+    std::size_t fabrics = 2;
+    std::size_t seedEntries = 3; // entries that every settings file names
     Duration freshnessBound = std::chrono::seconds(3);
+    RaftOptions raft;
+    std::function<void(NodeSettings &)> tune; // further settings
 };
 
 class NodeWorld
@@ -68,8 +72,10 @@
     // Last time that a request was started on the VM.
     TimePoint lastStart(const VmId &vm) const;
 
+    std::size_t entriesBehind(ConfigVersion version) const;
     std::uint64_t peerBytes() const { return peerBytes_; }
     std::uint64_t gossipBytes() const { return gossipBytes_; }
+    std::uint64_t bytesOf(std::size_t entry) const { return entries_[entry].bytesSent; }
 
 private:
     struct Entry
@@ -79,6 +85,7 @@
         std::shared_ptr<RecoveredLog> disk; // null without a seat
         bool isUp = true;
         std::uint64_t process = 1;
+        std::uint64_t bytesSent = 0;
         TimePoint pausedUntil{};
         std::vector<std::function<void()>> held; // received while paused
     };
@@ -131,6 +138,8 @@
     std::uint64_t nextOrder_ = 0;
     std::vector<Event> events_;
     std::vector<Entry> entries_;
+    std::map<EntryId, std::size_t> entryIndex_;
+    std::map<std::string, std::size_t> addressIndex_;
     std::vector<Endpoint> endpoints_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::uint64_t nextSession_ = 1;
--- a/tests/support/requestworld.cpp
+++ b/tests/support/requestworld.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint64_t StreamEvents = 10;
 constexpr auto StepSpan = std::chrono::milliseconds(10);
 constexpr double DuplicateRate = 0.05;
+constexpr double LateRate = 0.03;
 const std::string ServicePool = "service/ledger";
 const std::string ModelPool = "desk-model";
 
@@ -83,7 +84,7 @@
         return;
     if (chance(DuplicateRate))
         later(randomDelay(1, 2500), run);
-    later(randomDelay(1, 40), std::move(run));
+    later(chance(LateRate) ? randomDelay(40, 2500) : randomDelay(1, 40), std::move(run));
 }
 
 RequestWorld::Entry *RequestWorld::findEntry(const EntryId &name)
