--- a/src/libcoord/membership.cpp
+++ b/src/libcoord/membership.cpp
@@ -241,9 +241,13 @@
 void receivePing(MembershipState &state, const GossipMessage &ping, const std::string &sender,
                  const GossipContext &context, TimePoint now, MembershipOutput &out)
 {
-    if (!state.members.contains(ping.from))
+    const auto known = state.members.find(ping.from);
+    if (known == state.members.end())
         state.selfTransmissions = 0;
     GossipMessage ack = makeGossip(state, GossipKind::Ack, context);
+    // A member that was declared dead and is back must hear of it to refute it.
+    if (known != state.members.end() && known->second.info.status != MemberStatus::Alive)
+        ack.updates.push_back(known->second.info);
     ack.sequence = ping.sequence;
     addSeatAges(ack, context, now);
     out.send.push_back({sender, std::move(ack)});
--- a/tests/support/requestworld.cpp
+++ b/tests/support/requestworld.cpp
@@ -388,6 +388,7 @@
     if (caller.isAnswered)
         throw RequestViolation("two answers: " + toText(finish));
     caller.isAnswered = true;
+    caller.outcome = finish.outcome;
     const std::uint32_t runs = runs_[finish.id];
     switch (finish.outcome) {
     case Outcome::Done:
@@ -469,6 +470,8 @@
     }
     for (const auto &[id, runs] : runs_) {
         const Caller &caller = callers_.at(id);
+        if (caller.isAnswered && caller.outcome == Outcome::NotRun && runs > 0)
+            throw RequestViolation("ran after its caller was told not run: " + toString(id));
         if (!caller.spec.isIdempotent && runs > 1)
             throw RequestViolation("a call that is not idempotent ran twice: " + toString(id));
     }
--- a/tests/support/requestworld.h
+++ b/tests/support/requestworld.h
@@ -68,6 +68,7 @@
         std::uint64_t nextEvent = 0; // of a streamed answer
         bool isGone = false;
         bool isAnswered = false;
+        Outcome outcome = Outcome::Unknown;
     };
 
     struct Event
