libcoord: ask for the member list by its digest

Cause: every entry pulled the full list from a peer every 5 s, so control traffic grew with the number of entries: 3842 bytes/s an entry at 150 (mean), 7578 at most. The list now travels only when the digests differ.

--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <malloc.h>
 #include <numeric>
@@ -140,11 +141,17 @@
 
 } // namespace
 
-int main()
+// Sizes may be named on the command line.
+int main(int argc, char **argv)
 {
+    std::vector<std::size_t> sizes(std::begin(Sizes), std::end(Sizes));
+    if (argc > 1)
+        sizes.clear();
+    for (int i = 1; i < argc; ++i)
+        sizes.push_back(std::strtoul(argv[i], nullptr, 10));
     std::printf("| entries | workers | bytes/s mean | bytes/s max | CPU %% of a core | heap KB | "
                 "in force ms | age p99 ms | age max ms |\n|---|---|---|---|---|---|---|---|---|\n");
-    for (std::size_t size : Sizes) {
+    for (std::size_t size : sizes) {
         const Sample s = measure(size);
         std::printf("| %zu | %zu | %.0f | %.0f | %.2f | %.0f | %.0f | %.0f | %.0f |\n", size,
                     static_cast<std::size_t>(static_cast<double>(size) * WorkersPerEntry),
--- a/src/libcoord/membership.cpp
+++ b/src/libcoord/membership.cpp
@@ -1,5 +1,7 @@
 #include "libcoord/membership.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -365,6 +367,17 @@
     return members;
 }
 
+std::uint64_t membersDigest(const MembershipState &state)
+{
+    std::uint64_t digest = 0;
+    for (const Member &member : allMembers(state)) {
+        const std::string facts = member.entry + '/' + std::to_string(member.incarnation) + '/'
+                + std::to_string(static_cast<int>(member.status));
+        digest ^= XXH3_64bits(facts.data(), facts.size());
+    }
+    return digest;
+}
+
 bool isReachable(const MembershipState &state, const EntryId &entry)
 {
     if (entry == state.self.entry)
--- a/src/libcoord/membership.h
+++ b/src/libcoord/membership.h
@@ -139,6 +139,9 @@
 // The full list, own entry included.
 std::vector<Member> allMembers(const MembershipState &state);
 
+// Hash of the full list. Two entries with the same digest hold the same list.
+std::uint64_t membersDigest(const MembershipState &state);
+
 // True for the own entry and for members that are alive or suspected.
 bool isReachable(const MembershipState &state, const EntryId &entry);
 
--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -52,7 +52,7 @@
     void operator()(const FeedRequest &request) const
     {
         FeedReply reply = answerFeed(node.feed, request);
-        if (request.wantsMembers)
+        if (request.wantsMembers && request.membersDigest != membersDigest(node.membership))
             reply.members = allMembers(node.membership);
         out.peers.emplace_back(from, std::move(reply));
     }
--- a/src/libnode/nodecontrol.cpp
+++ b/src/libnode/nodecontrol.cpp
@@ -254,7 +254,8 @@
 
 void pullFeed(NodeState &node, const EntryId &from, bool wantsMembers, NodeOutput &out)
 {
-    out.peers.emplace_back(from, FeedRequest{node.feed.config.version, wantsMembers});
+    const std::uint64_t digest = wantsMembers ? membersDigest(node.membership) : 0;
+    out.peers.emplace_back(from, FeedRequest{node.feed.config.version, wantsMembers, digest});
 }
 
 void receiveFeedReply(NodeState &node, const FeedReply &reply, TimePoint now, NodeOutput &out)
--- a/src/libserving/feed.h
+++ b/src/libserving/feed.h
@@ -24,6 +24,7 @@
 {
     ConfigVersion version = 0;
     bool wantsMembers = false;
+    std::uint64_t membersDigest = 0; // of the list that the asker holds
 };
 
 struct FeedReply
--- a/src/libserving/peercodec.cpp
+++ b/src/libserving/peercodec.cpp
@@ -329,7 +329,7 @@
 template <class A>
 void serialize(A &a, FeedRequest &m)
 {
-    a(m.version, m.wantsMembers);
+    a(m.version, m.wantsMembers, m.membersDigest);
 }
 
 template <class A>
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -79,8 +79,13 @@
 {
     Net net(9);
     net.advance(seconds(10));
-    for (const MembershipState &state : net.states)
+    for (const MembershipState &state : net.states) {
         BOOST_TEST(state.members.size() == 8u);
+        BOOST_TEST(membersDigest(state) == membersDigest(net.states[0]));
+    }
+    net.down = {4};
+    net.advance(seconds(8));
+    BOOST_TEST(membersDigest(net.states[4]) != membersDigest(net.states[0]));
 }
 
 BOOST_AUTO_TEST_CASE(deadEntryIsFoundAndComesBack)
@@ -176,10 +181,10 @@
     for (LogIndex index = 1; index <= 50; ++index)
         applyFeedItem(source, {index, Command(SetWorkspace{{"w" + std::to_string(index), 1}})});
     FeedState entry;
-    applyFeedReply(entry, answerFeed(source, {0, false}));
+    applyFeedReply(entry, answerFeed(source, {0, false, 0}));
     BOOST_TEST((entry.config == source.config));
     applyFeedItem(source, {51, Command(RemoveWorkspace{"w1"})});
-    const FeedReply delta = answerFeed(source, {50, false});
+    const FeedReply delta = answerFeed(source, {50, false, 0});
     BOOST_TEST(delta.snapshot.empty());
     BOOST_TEST(applyFeedReply(entry, delta));
     BOOST_TEST((entry.config == source.config));
@@ -189,7 +194,7 @@
     BOOST_TEST(!adoptConfiguration(entry, Configuration{}));
     BOOST_TEST((entry.config == before));
     // A gap of more than the kept items needs a snapshot again.
-    BOOST_TEST(!answerFeed(source, {20, false}).snapshot.empty());
+    BOOST_TEST(!answerFeed(source, {20, false, 0}).snapshot.empty());
 }
 
 } // namespace Trefoil
