--- a/benchmarks/bench_capacity.cpp
+++ b/benchmarks/bench_capacity.cpp
@@ -128,8 +128,9 @@
     world.advance(seconds(8));
     const std::size_t groups = std::max<std::size_t>(1, options.engines / VmsPerGroup * 9 / 10);
     world.operate(0, "set workspace haldar weight 1", 1);
-    world.operate(0, "set deployment desk-model model m version v vms-per-group 8 groups "
-                             + std::to_string(groups),
+    world.operate(0,
+                  "set deployment desk-model model m version v vms-per-group 8 groups "
+                          + std::to_string(groups),
                   2);
     world.advance(WarmUp);
     Sample sample;
--- a/benchmarks/bench_control.cpp
+++ b/benchmarks/bench_control.cpp
@@ -35,8 +35,8 @@
             seats.push_back({i + 1, "entry", true});
         for (std::size_t i = 0; i < count; ++i) {
             Seat seat;
-            seat.store = std::make_unique<LogStore>(
-                    openPosixFolder(folder + "/" + std::to_string(count) + "-" + std::to_string(i)));
+            seat.store = std::make_unique<LogStore>(openPosixFolder(
+                    folder + "/" + std::to_string(count) + "-" + std::to_string(i)));
             seat.store->createIdentity(i + 1, seats);
             ControlSeatOptions options;
             options.compactEvery = 1'000'000;
@@ -191,7 +191,8 @@
 {
     const std::string folder = std::filesystem::temp_directory_path() / "trefoil-bench-control";
     std::filesystem::remove_all(folder);
-    std::printf("| seats | commands in a batch | commits/s | p50 ms | p99 ms |\n|---|---|---|---|---|\n");
+    std::printf("| seats | commands in a batch | commits/s | p50 ms | p99 ms "
+                "|\n|---|---|---|---|---|\n");
     measureCommits(folder, 3);
     measureCommits(folder, 5);
     std::printf("\n| changes in the log | read and applied in ms |\n|---|---|\n");
--- a/benchmarks/bench_fairshare.cpp
+++ b/benchmarks/bench_fairshare.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t SlotCounts[] = {32, 256};
-constexpr double LoadSlots = 32; // that the loads below are written for
+constexpr double LoadSlots = 32;       // that the loads below are written for
 constexpr double TokensPerSecond = 40; // of one request
 constexpr double RunSeconds = 120;
 constexpr double WindowSeconds = 10;
@@ -22,10 +22,17 @@
 constexpr double ExpectationSmoothing = 0.05;
 constexpr double TickSeconds = 0.02;
 
-enum class Policy { FairByWork, FairByExpectedWork, FairByRequests, FirstComeFirstServed, RateLimited };
+enum class Policy {
+    FairByWork,
+    FairByExpectedWork,
+    FairByRequests,
+    FirstComeFirstServed,
+    RateLimited
+};
 
-constexpr const char *PolicyNames[] = {"fair by work as it accrues", "fair by expected work, corrected", "fair by requests", "first come",
-                                       "rate limit each"};
+constexpr const char *PolicyNames[] = {"fair by work as it accrues",
+                                       "fair by expected work, corrected", "fair by requests",
+                                       "first come", "rate limit each"};
 
 struct Load
 {
@@ -103,7 +110,8 @@
             accrue();
             start();
             if (running_.size() < slots_ && waiting() > 0 && policy_ != Policy::RateLimited)
-                result_.idleWhileWaiting += TickSeconds * static_cast<double>(slots_ - running_.size());
+                result_.idleWhileWaiting +=
+                        TickSeconds * static_cast<double>(slots_ - running_.size());
             if (now_ < nextWindow)
                 continue;
             closeWindow(nextWindow > WindowSeconds);
@@ -173,8 +181,8 @@
             const double work = TokensPerSecond * TickSeconds * GeneratedTokenCost;
             windowWork_[running.load] += work;
             running.generated += work;
-            const bool beyond = policy_ == Policy::FairByExpectedWork
-                    && running.generated > running.expected;
+            const bool beyond =
+                    policy_ == Policy::FairByExpectedWork && running.generated > running.expected;
             if (policy_ == Policy::FairByWork || beyond)
                 chargeWork(queue_, loads_[running.load].workspace,
                            loads_[running.load].requestClass, work);
@@ -186,7 +194,8 @@
     // The pool's requests a second, split evenly.
     double limitPerSecond() const
     {
-        return static_cast<double>(slots_) * TokensPerSecond / 300 / static_cast<double>(loads_.size());
+        return static_cast<double>(slots_) * TokensPerSecond / 300
+               / static_cast<double>(loads_.size());
     }
 
     void start()
@@ -244,8 +253,8 @@
             if (isCounted && work > 0 && loads_[i].workspace.starts_with("flood")) {
                 const double share = windowWork_[i] / work;
                 const double fair = loads_[i].weight / weight;
-                result_.worstShareError = std::max(result_.worstShareError,
-                                                   std::abs(share - fair) / fair);
+                result_.worstShareError =
+                        std::max(result_.worstShareError, std::abs(share - fair) / fair);
             }
             windowWork_[i] = 0;
         }
@@ -276,10 +285,11 @@
                 "slot-s while work waits |\n|---|---|---|---|---|\n");
     for (std::size_t slots : SlotCounts) {
         const Result alone = Simulation(Policy::FairByWork, slots, true).run();
-        std::printf("| %zu | the light workspace alone | - | %.0f | - |\n", slots, alone.lightP99Ms);
-        for (Policy policy : {Policy::FairByWork, Policy::FairByExpectedWork,
-                              Policy::FairByRequests, Policy::FirstComeFirstServed,
-                              Policy::RateLimited}) {
+        std::printf("| %zu | the light workspace alone | - | %.0f | - |\n", slots,
+                    alone.lightP99Ms);
+        for (Policy policy :
+             {Policy::FairByWork, Policy::FairByExpectedWork, Policy::FairByRequests,
+              Policy::FirstComeFirstServed, Policy::RateLimited}) {
             const Result r = Simulation(policy, slots, false).run();
             std::printf("| %zu | %s | %.1f %% | %.0f | %.1f |\n", slots,
                         PolicyNames[static_cast<std::size_t>(policy)], 100 * r.worstShareError,
--- a/src/libcoord/membership.cpp
+++ b/src/libcoord/membership.cpp
@@ -372,7 +372,7 @@
     std::uint64_t digest = 0;
     for (const Member &member : allMembers(state)) {
         const std::string facts = member.entry + '/' + std::to_string(member.incarnation) + '/'
-                + std::to_string(static_cast<int>(member.status));
+                                  + std::to_string(static_cast<int>(member.status));
         digest ^= XXH3_64bits(facts.data(), facts.size());
     }
     return digest;
--- a/tests/test_language.cpp
+++ b/tests/test_language.cpp
@@ -62,8 +62,16 @@
 Row groupRow(std::int64_t group, const std::string &deployment, const std::string &state,
              std::int64_t running)
 {
-    return {group,         deployment,      state,  std::string("v1"), std::string("f"),
-            std::string("d"), std::string("e"), std::string(""), running, std::int64_t{8}};
+    return {group,
+            deployment,
+            state,
+            std::string("v1"),
+            std::string("f"),
+            std::string("d"),
+            std::string("e"),
+            std::string(""),
+            running,
+            std::int64_t{8}};
 }
 
 } // namespace
@@ -134,8 +142,8 @@
 {
     const std::vector<Row> a = {groupRow(1, "desk", "open", 3), groupRow(2, "desk", "loading", 0)};
     const std::vector<Row> b = {groupRow(3, "desk", "open", 4), groupRow(4, "other", "open", 9)};
-    const auto query = std::get<ShowQuery>(
-            parseStatement("show groups where state = open by deployment"));
+    const auto query =
+            std::get<ShowQuery>(parseStatement("show groups where state = open by deployment"));
     std::vector<Row> partials = evaluateQuery(query, a);
     const auto more = evaluateQuery(query, b);
     partials.insert(partials.end(), more.begin(), more.end());
--- a/tests/test_runtime.cpp
+++ b/tests/test_runtime.cpp
@@ -12,7 +12,7 @@
 
 struct BadSettings
 {
-    std::string change;  // text that replaces the line `listen:` block's end
+    std::string change; // text that replaces the line `listen:` block's end
     std::size_t line;
     std::string message;
 };
@@ -105,7 +105,7 @@
     BOOST_TEST(rows == eventSpecs().size());
     for (const EventSpec &spec : eventSpecs()) {
         const std::string row = "| E" + std::to_string(static_cast<int>(spec.event)) + " | "
-                + std::string(spec.text) + " |";
+                                + std::string(spec.text) + " |";
         BOOST_TEST(catalogue.find(row) != std::string::npos, row);
     }
 }
@@ -140,7 +140,8 @@
 {
     BOOST_TEST(parseAddress("10.0.0.1:80").has_value());
     BOOST_TEST(parseAddress("[::1]:80").has_value());
-    for (const char *bad : {"localhost:80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999"})
+    for (const char *bad :
+         {"localhost:80", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999"})
         BOOST_TEST(!parseAddress(bad).has_value(), bad);
 }
 
