libnode: give up on dispatchers that are not reachable; whole-system faults

Causes, from the new whole-system fault script with real processes: - A stream of a killed dispatcher was sent to it once more in the moment of its loss and then hung to its deadline (60 s and no end mark). Requests at unreachable dispatchers are now lost at once; a lost attempt gets time for the groups to be taken over. - An entry that restarted within the suspicion time learned of nobody (0 members, not ready in 20 s): the acknowledgement of a seed ping now introduces its sender.

--- a/src/libcoord/membership.cpp
+++ b/src/libcoord/membership.cpp
@@ -133,6 +133,7 @@
     state.probes[sequence] = probe;
     GossipMessage ping = makeGossip(state, GossipKind::Ping, context);
     ping.sequence = sequence;
+    ping.target = target;
     const auto known = state.members.find(target);
     const bool accused =
             known != state.members.end() && known->second.info.status != MemberStatus::Alive;
@@ -244,9 +245,10 @@
                  const GossipContext &context, TimePoint now, MembershipOutput &out)
 {
     const auto known = state.members.find(ping.from);
-    if (known == state.members.end())
-        state.selfTransmissions = 0;
     GossipMessage ack = makeGossip(state, GossipKind::Ack, context);
+    // A ping to a bare address comes from a member that has just started.
+    if (ping.target.empty())
+        ack.updates.push_back(state.self);
     // A member that was declared dead and is back must hear of it to refute it.
     if (known != state.members.end() && known->second.info.status != MemberStatus::Alive)
         ack.updates.push_back(known->second.info);
--- a/src/libnode/noderequests.cpp
+++ b/src/libnode/noderequests.cpp
@@ -224,6 +224,22 @@
         out.peers.emplace_back(entry, std::move(digest));
 }
 
+// Gives up on dispatchers that are not reachable, also on those that a request was sent to after
+// their loss was noticed.
+void loseUnreachable(NodeState &node, TimePoint now, NodeOutput &out)
+{
+    std::vector<EntryId> lost;
+    for (const auto &[entry, count] : node.origin.outstanding) {
+        if (count > 0 && !isReachable(node.membership, entry))
+            lost.push_back(entry);
+    }
+    for (const EntryId &entry : lost) {
+        OriginOutput originOut;
+        originEntryLost(node.origin, entry, now, originOut);
+        takeOriginOutput(node, originOut, now, out);
+    }
+}
+
 } // namespace
 
 void nodeSubmit(NodeState &node, SubmitRequest submitted, TimePoint now, NodeOutput &out)
@@ -340,6 +356,7 @@
     DispatchOutput dispatchOut;
     dispatchTick(node.dispatch, now, dispatchOut);
     takeDispatchOutput(node, dispatchOut, now, out);
+    loseUnreachable(node, now, out);
     OriginOutput originOut;
     originTick(node.origin, now, originOut);
     takeOriginOutput(node, originOut, now, out);
--- a/src/libserving/origin.cpp
+++ b/src/libserving/origin.cpp
@@ -411,6 +411,9 @@
     origin->mayHaveRun = origin->mayHaveRun || report.result == AttemptResult::Lost
                          || report.result == AttemptResult::Failed;
     origin->request.resumeFrom += report.relayedEvents;
+    // What was begun is worth the wait for another dispatcher to take the groups over.
+    if (report.result == AttemptResult::Lost)
+        origin->holdUntil = now + state.options.resumeWait;
     if (report.result == AttemptResult::Completed) {
         addSuccess(state.budgets[origin->request.pool]);
         finishRan(state, number, Outcome::Done, now, out);
--- a/src/libserving/origin.h
+++ b/src/libserving/origin.h
@@ -19,6 +19,7 @@
 {
     std::uint32_t maxAttempts = 4;                   // not counting refusals for want of room
     Duration capacityWait = std::chrono::seconds(4); // for a group to open
+    Duration resumeWait = std::chrono::seconds(12);  // the same after a lost attempt
     Duration holdInterval = std::chrono::milliseconds(200); // between tries meanwhile
     Duration cancelGrace = std::chrono::milliseconds(500);  // wait for a report after a cancel
     Duration keyRetryInterval = std::chrono::milliseconds(300);
--- a/tests/test_membership.cpp
+++ b/tests/test_membership.cpp
@@ -103,6 +103,17 @@
         BOOST_TEST((net.status(i, 4) == MemberStatus::Alive));
 }
 
+BOOST_AUTO_TEST_CASE(restartWithinTheSuspicionTimeLearnsTheMembers)
+{
+    Net net(5);
+    net.advance(seconds(20));
+    Member self = net.states[4].self;
+    self.incarnation += 1;
+    net.states[4] = makeMembership(self, {"a0"}, {}, 9, net.now);
+    net.advance(seconds(5));
+    BOOST_TEST(net.states[4].members.contains("e0"));
+}
+
 BOOST_AUTO_TEST_CASE(cutBetweenTwoIsBridgedByTheOthers)
 {
     Net net(5);
--- a/tests/test_nodes.cpp
+++ b/tests/test_nodes.cpp
@@ -138,6 +138,22 @@
     BOOST_TEST(!world.node(0).feed.config.groups.contains(broken));
 }
 
+BOOST_AUTO_TEST_CASE(draftOfAKilledDispatcherGoesOnElsewhere)
+{
+    NodeWorld world = servingWorld();
+    const std::size_t dispatcher = indexOfEntry(anyGroup(world).dispatcher);
+    const std::size_t origin = (dispatcher + 1) % world.size();
+    std::vector<std::uint64_t> drafts;
+    for (int i = 0; i < 8; ++i)
+        drafts.push_back(world.submitDraft(origin));
+    world.advance(milliseconds(20));
+    world.crash(dispatcher);
+    // The deadline is 8 s; the answer must not wait for it.
+    world.advance(seconds(7));
+    for (std::uint64_t draft : drafts)
+        BOOST_TEST(world.answers().contains(draft));
+}
+
 BOOST_AUTO_TEST_CASE(secondVmLostRightAfterTheRepair)
 {
     NodeWorld world = servingWorld();
