libserving: a held request whose caller has gone is ended, not dispatched

Cause: the caller's leaving was sent through startAttempt, whose refused dispatchers had been cleared for the next try, so a request that nobody waits for was dispatched once more. The end without a dispatcher is now a function of its own, used by both places.

--- a/src/libserving/origin.cpp
+++ b/src/libserving/origin.cpp
@@ -167,6 +167,19 @@
            && next < origin.request.deadline;
 }
 
+// Ends a request that no dispatcher has at the moment.
+void endUndispatched(OriginState &state, std::uint64_t number, Reason reason, TimePoint now,
+                     OriginOutput &out)
+{
+    const OriginRequest &origin = state.requests.at(number);
+    const Duration after =
+            std::max<Duration>(origin.last.retryAfter, state.options.noDispatcherRetryAfter);
+    if (origin.mayHaveRun)
+        finishRan(state, number, Outcome::Unknown, now, out);
+    else
+        finishNotRun(state, number, reason, after, now, out);
+}
+
 void startAttempt(OriginState &state, std::uint64_t number, TimePoint now, OriginOutput &out)
 {
     OriginRequest &origin = state.requests.at(number);
@@ -180,12 +193,7 @@
             return;
         }
         if (!candidate) {
-            const Duration after = std::max<Duration>(origin.last.retryAfter,
-                                                      state.options.noDispatcherRetryAfter);
-            if (origin.mayHaveRun)
-                finishRan(state, number, Outcome::Unknown, now, out);
-            else
-                finishNotRun(state, number, Reason::NoCapacity, after, now, out);
+            endUndispatched(state, number, Reason::NoCapacity, now, out);
             return;
         }
         to = candidate->entry;
@@ -470,7 +478,7 @@
     OriginRequest &origin = found->second;
     origin.callerGone = true;
     if (origin.phase == OriginPhase::Holding) {
-        startAttempt(state, id.number, now, out);
+        endUndispatched(state, id.number, Reason::CallerGone, now, out);
         return;
     }
     if (origin.phase != OriginPhase::Dispatched)
--- a/tests/test_requests.cpp
+++ b/tests/test_requests.cpp
@@ -301,4 +301,31 @@
     BOOST_TEST(workspace.charged == 0);
 }
 
+// --- Origin
+
+BOOST_AUTO_TEST_CASE(heldRequestOfAGoneCallerIsNotDispatchedAgain)
+{
+    OriginState state;
+    state.self = "origin";
+    state.incarnation = 1;
+    state.dispatchers["pool"] = {{"elsewhere", 1}};
+    OriginOutput out;
+    const RequestId id = originSubmit(state, request(0), {}, 0, Start, out);
+    BOOST_REQUIRE(out.dispatch.size() == 1u);
+    AttemptReport full;
+    full.id = id;
+    full.attempt = 1;
+    full.reason = Reason::NoCapacity;
+    OriginOutput held;
+    originReport(state, full, Start, held);
+    BOOST_TEST(held.dispatch.empty());
+    BOOST_TEST(held.finish.empty());
+    OriginOutput gone;
+    originCallerGone(state, id, Start, gone);
+    BOOST_TEST(gone.dispatch.empty());
+    BOOST_REQUIRE(gone.finish.size() == 1u);
+    BOOST_TEST((gone.finish[0].outcome == Outcome::NotRun));
+    BOOST_TEST(state.requests.empty());
+}
+
 } // namespace Trefoil
