--- a/src/libnode/node.cpp
+++ b/src/libnode/node.cpp
@@ -234,8 +234,7 @@
 
 bool isServing(const NodeState &node, TimePoint now)
 {
-    return !isRefusing(node, now)
-           && isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now);
+    return !isRefusing(node, now) && isConfirmed(node, now);
 }
 
 std::vector<Member> callerAddresses(const NodeState &node, std::uint64_t callerSeed)
@@ -266,6 +265,11 @@
 
 namespace NodeInternal {
 
+bool isConfirmed(const NodeState &node, TimePoint now)
+{
+    return isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now);
+}
+
 void addEvent(NodeOutput &out, NodeEventKind kind, std::string subject, std::string detail)
 {
     out.events.push_back({kind, std::move(subject), std::move(detail)});
--- a/src/libnode/nodeinternal.h
+++ b/src/libnode/nodeinternal.h
@@ -15,6 +15,9 @@
 void takeDispatchOutput(NodeState &node, DispatchOutput &dispatchOut, TimePoint now,
                         NodeOutput &out);
 
+// True while this entry can confirm its configuration within the freshness bound.
+bool isConfirmed(const NodeState &node, TimePoint now);
+
 // Samples of all known seats, the own one taken now.
 std::vector<SeatSample> currentSamples(NodeState &node, TimePoint now);
 
--- a/src/libnode/nodemembership.cpp
+++ b/src/libnode/nodemembership.cpp
@@ -108,8 +108,7 @@
     membershipTick(node.membership, context, now, membershipOut);
     takeMembershipOutput(node, membershipOut, now, out);
     pullMembers(node, now, out);
-    const bool fresh =
-            isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now);
+    const bool fresh = isConfirmed(node, now);
     if (fresh != node.wasFresh)
         addEvent(out, fresh ? NodeEventKind::BecameFresh : NodeEventKind::BecameStale,
                  node.settings.self.entry, std::to_string(node.feed.config.version));
--- a/src/libnode/noderequests.cpp
+++ b/src/libnode/noderequests.cpp
@@ -333,8 +333,7 @@
 void updateTargets(NodeState &node, TimePoint now, NodeOutput &out)
 {
     node.nextTargets = now + TargetInterval;
-    const bool fresh =
-            isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now);
+    const bool fresh = isConfirmed(node, now);
     PoolTargets targets;
     addGroupTargets(node, fresh, now, targets, out);
     addServiceTargets(node, fresh, targets);
--- a/src/libnode/nodevms.cpp
+++ b/src/libnode/nodevms.cpp
@@ -138,7 +138,7 @@
 void sendOrders(NodeState &node, TimePoint now, NodeOutput &out)
 {
     const Configuration &config = node.feed.config;
-    const bool fresh = isFresh(node.freshness, config.seats, node.settings.freshnessBound, now);
+    const bool fresh = isConfirmed(node, now);
     for (const auto &[id, group] : config.groups) {
         const bool mine =
                 group.dispatcher == node.settings.self.entry && group.status == GroupStatus::Active;
@@ -313,7 +313,7 @@
 // An entry that is cut off would hold VMs back from the entries that took its groups over.
 bool refuseWhenStale(const NodeState &node, std::uint64_t session, TimePoint now, NodeOutput &out)
 {
-    if (isFresh(node.freshness, node.feed.config.seats, node.settings.freshnessBound, now))
+    if (isConfirmed(node, now))
         return false;
     EndpointReply reply;
     reply.session = session;
--- a/src/libserving/controlstate.cpp
+++ b/src/libserving/controlstate.cpp
@@ -134,8 +134,16 @@
         return keyReply(ReplyCode::KeyGranted, &record);
     }
 
+    static bool wasRefused(const KeyRecord &record, const KeyOwner &owner)
+    {
+        return std::find(record.refused.begin(), record.refused.end(), owner)
+               != record.refused.end();
+    }
+
     void rememberRefusal(KeyRecord &record, const KeyOwner &owner) const
     {
+        if (wasRefused(record, owner))
+            return;
         record.refused.push_back(owner);
         if (record.refused.size() > state.limits.refusedOwners)
             record.refused.pop_front();
@@ -144,9 +152,7 @@
     // A claim of the owner that gave the key back is a late copy and must not hold it again.
     CommandReply claimReleased(const ClaimKey &c, KeyRecord &record) const
     {
-        const bool refused = std::find(record.refused.begin(), record.refused.end(), c.owner)
-                             != record.refused.end();
-        if (record.result.owner == c.owner || refused)
+        if (record.result.owner == c.owner || wasRefused(record, c.owner))
             return keyReply(ReplyCode::Invalid);
         rememberRefusal(record, record.result.owner);
         record.digest = c.digest;
