--- a/tests/test_logstore.cpp
+++ b/tests/test_logstore.cpp
@@ -5,6 +5,10 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <filesystem>
+
+#include <unistd.h>
+
 namespace Trefoil {
 
 namespace {
@@ -21,6 +25,15 @@
     return result;
 }
 
+// An empty folder of this test run, outside the source tree.
+std::string temporaryFolder(const std::string &name)
+{
+    const auto path = std::filesystem::temp_directory_path()
+                      / ("trefoil-" + name + "-" + std::to_string(::getpid()));
+    std::filesystem::remove_all(path);
+    return path.string();
+}
+
 RaftDiskWrite appendOf(std::vector<LogEntry> entries)
 {
     RaftDiskWrite write;
@@ -179,14 +192,14 @@
 
 BOOST_AUTO_TEST_CASE(locksTheFolder)
 {
-    const std::string folder = "locked-folder";
+    const std::string folder = temporaryFolder("locked-folder");
     const auto first = openPosixFolder(folder);
     BOOST_CHECK_THROW(openPosixFolder(folder), DiskError);
 }
 
 BOOST_AUTO_TEST_CASE(worksOnRealFiles)
 {
-    const std::string folder = "logstore-files";
+    const std::string folder = temporaryFolder("logstore-files");
     {
         const auto files = openPosixFolder(folder);
         for (const std::string &name : files->list()) {
