--- /dev/null
+++ b/src/libfleet/endpoints.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libcoord/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// What is known of the endpoints of all services. Endpoints announce themselves by heartbeats that
+// may arrive late, out of order or from an incarnation that has ended.
+
+namespace Trefoil {
+
+using EndpointId = std::string;
+
+enum class MembershipPhase : std::uint8_t { Joining, Ready, Open, Closing, Broken };
+
+// Place of an engine in a serving group, as the engine reports it.
+struct GroupMembership
+{
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::uint32_t rank = 0; // 0 is the head, which takes the group's requests
+    MembershipPhase phase = MembershipPhase::Joining;
+
+    bool operator==(const GroupMembership &) const = default;
+};
+
+struct EndpointReport
+{
+    EndpointId id;
+    std::string service;
+    std::string address; // IP:port
+    std::string domain;  // failure domain
+    std::string fabric;  // fabric domain, empty for plain services
+    std::uint32_t slots = 1;
+    bool isDraining = false;
+    std::uint64_t startedAtMs = 0; // Unix time of the start, tells two lives of one id apart
+    std::uint64_t sequence = 0;    // grows with each report of one life
+    std::vector<std::string> stagedModels;
+    std::vector<std::string> loadedModels;
+    std::optional<GroupMembership> membership;
+
+    bool operator==(const EndpointReport &) const = default;
+};
+
+struct Endpoint
+{
+    EndpointReport report;
+    TimePoint lastHeard{};
+    bool hasLeft = false;     // said that it ends; it may still serve for a while
+    bool isSucceeded = false; // a later endpoint has its address, so it has ended
+};
+
+struct EndpointTable
+{
+    std::map<EndpointId, Endpoint> endpoints;
+};
+
+enum class ReportOutcome : std::uint8_t {
+    Stale,     // older than what is known
+    Refreshed, // nothing but the sequence changed
+    Changed,
+};
+
+// Takes a report that was made `age` ago. Endpoints with an earlier start at the same address are
+// marked as left.
+ReportOutcome takeReport(EndpointTable &table, const EndpointReport &report, Duration age,
+                         TimePoint now);
+
+// Notes that an endpoint said that it ends. A departure of an earlier life is ignored; 0 stands for
+// the life that is known. Returns false when nothing changed.
+bool takeDeparture(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
+                   TimePoint now);
+
+// Notes that an endpoint was heard `age` ago.
+void takeSign(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs, Duration age,
+              TimePoint now);
+
+// Drops endpoints that left or fell silent longer than `retention` ago.
+void forgetEndpoints(EndpointTable &table, Duration retention, TimePoint now);
+
+// True when the endpoint takes new work as far as its reports tell.
+bool isUsable(const Endpoint &endpoint, Duration silence, TimePoint now);
+
+const Endpoint *findEndpoint(const EndpointTable &table, const EndpointId &id);
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libfleet/enginemodel.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libfleet/serviceconfiguration.h"
+
+// Prediction of a serving group's timing from the published engine parameters.
+
+namespace Trefoil {
+
+// Work that a group holds.
+struct GroupLoad
+{
+    double sequences = 0;          // requests that run or wait
+    double unreadPromptTokens = 0; // of requests without a first token
+    double unwrittenTokens = 0;    // answer tokens that are still to be written
+};
+
+struct RequestSize
+{
+    double promptTokens = 0;
+    double answerTokens = 0;
+};
+
+struct TimingEstimate
+{
+    Duration firstEvent{}; // from the handover of the request
+    Duration eventGap{};   // between two events once it runs
+    Duration total{};
+};
+
+// Time of one pass in milliseconds with `sequences` writers, without reading.
+double passMs(const EngineProfile &engine, const ModelProfile &model, double sequences);
+
+// Time to read a prompt in milliseconds.
+double readMs(const EngineProfile &engine, const ModelProfile &model, double promptTokens);
+
+// Timing of one more request at a group with this load.
+TimingEstimate estimateTiming(const EngineProfile &engine, const ModelProfile &model,
+                              const GroupLoad &load, const RequestSize &request);
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libfleet/groupplanner.cpp
@@ -0,0 +1,556 @@
+#include "libfleet/groupplanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+
+namespace Trefoil {
+
+namespace {
+
+constexpr const char *OrderNames[] = {"join", "open", "close", "leave", "stage"};
+
+// Epochs of one term; a later term's epochs are always higher.
+constexpr std::uint64_t EpochsPerTerm = 1'000'000;
+
+constexpr Duration LoadWindow = std::chrono::seconds(5);
+
+// View of one planning step.
+struct Planning
+{
+    GroupPlanner &planner;
+    const EndpointTable &table;
+    const ServiceConfiguration &config;
+    TimePoint now;
+    std::vector<GroupOrder> orders;
+
+    const Endpoint *usable(const EndpointId &id) const
+    {
+        const Endpoint *endpoint = findEndpoint(table, id);
+        const bool good =
+                endpoint && isUsable(*endpoint, planner.options.lossTimeout, now);
+        return good ? endpoint : nullptr;
+    }
+
+    // The endpoint still runs, although it may be about to leave.
+    const Endpoint *heard(const EndpointId &id) const
+    {
+        const Endpoint *endpoint = findEndpoint(table, id);
+        const bool recent = endpoint && now - endpoint->lastHeard <= planner.options.lossTimeout;
+        return recent ? endpoint : nullptr;
+    }
+};
+
+bool isMember(const Endpoint &endpoint, const FleetGroup &group)
+{
+    const auto &membership = endpoint.report.membership;
+    return membership && membership->group == group.name && membership->epoch == group.epoch;
+}
+
+bool hasStaged(const Endpoint &endpoint, const std::string &model)
+{
+    const auto &staged = endpoint.report.stagedModels;
+    return std::find(staged.begin(), staged.end(), model) != staged.end();
+}
+
+void setStage(FleetGroup &group, GroupStage stage, TimePoint now)
+{
+    group.stage = stage;
+    group.stageSince = now;
+    group.lastHeadOrder = TimePoint{};
+}
+
+std::size_t loadsInProgress(const Planning &planning)
+{
+    std::size_t count = 0;
+    for (const auto &[name, group] : planning.planner.groups) {
+        if (group.stage != GroupStage::Forming)
+            continue;
+        for (const EndpointId &id : group.members) {
+            const Endpoint *endpoint = planning.heard(id);
+            const bool loading = endpoint && isMember(*endpoint, group)
+                                 && endpoint->report.membership->phase == MembershipPhase::Joining
+                                 && !hasStaged(*endpoint, group.model);
+            count += loading ? 1 : 0;
+        }
+    }
+    for (const auto &[id, order] : planning.planner.orders)
+        count += order.isLoad ? 1 : 0;
+    return count;
+}
+
+// True when the weight store may start one more load.
+bool mayStartLoad(Planning &planning, const EngineProfile &engine)
+{
+    GroupPlanner &planner = planning.planner;
+    if (!planner.hasTraffic)
+        return loadsInProgress(planning) < planner.options.initialConcurrentLoads;
+    while (!planner.loadStarts.empty() && planning.now - planner.loadStarts.front() > LoadWindow)
+        planner.loadStarts.pop_front();
+    const double inWindow = engine.loadsPerSecond * std::chrono::duration<double>(LoadWindow).count();
+    return static_cast<double>(planner.loadStarts.size()) + 1 <= inWindow
+           && loadsInProgress(planning) < engine.concurrentLoads;
+}
+
+// Sends an order unless the endpoint has one outstanding.
+bool order(Planning &planning, const Endpoint &endpoint, const FleetGroup &group, OrderKind kind,
+           std::string why, bool isLoad = false)
+{
+    GroupPlanner &planner = planning.planner;
+    if (planner.orders.contains(endpoint.report.id))
+        return false;
+    GroupOrder sent;
+    sent.number = planner.nextOrder++;
+    sent.kind = kind;
+    sent.endpoint = endpoint.report.id;
+    sent.address = endpoint.report.address;
+    sent.group = group.name;
+    sent.epoch = group.epoch;
+    sent.fencingToken = planner.fencingToken;
+    sent.model = group.model;
+    sent.members = group.members;
+    sent.closeMode = group.closeMode;
+    sent.why = std::move(why);
+    planner.orders[sent.endpoint] = {sent.number, kind, group.name, planning.now, isLoad};
+    if (kind == OrderKind::Open)
+        ++planner.groups[group.name].unansweredOpens;
+    if (isLoad && planner.hasTraffic)
+        planner.loadStarts.push_back(planning.now);
+    planning.orders.push_back(std::move(sent));
+    return true;
+}
+
+void dropOverdueOrders(Planning &planning)
+{
+    const Duration timeout = planning.planner.options.orderTimeout;
+    std::erase_if(planning.planner.orders, [&](const auto &item) {
+        const Endpoint *endpoint = findEndpoint(planning.table, item.first);
+        const bool joined = item.second.kind == OrderKind::Join && endpoint
+                            && endpoint->report.membership
+                            && endpoint->report.membership->group == item.second.group;
+        return joined || planning.now - item.second.sentAt > timeout;
+    });
+}
+
+// A member that is lost for good or about to leave.
+const EndpointId *missingMember(const Planning &planning, const FleetGroup &group)
+{
+    for (const EndpointId &id : group.members) {
+        const Endpoint *endpoint = planning.usable(id);
+        if (!endpoint)
+            return &id;
+        const bool joined = group.stage == GroupStage::Forming || isMember(*endpoint, group);
+        if (!joined)
+            return &id;
+    }
+    return nullptr;
+}
+
+void joinMembers(Planning &planning, FleetGroup &group, const EngineProfile &engine)
+{
+    bool allReady = true;
+    for (const EndpointId &id : group.members) {
+        const Endpoint *endpoint = planning.usable(id);
+        if (isMember(*endpoint, group)) {
+            allReady = allReady && endpoint->report.membership->phase == MembershipPhase::Ready;
+            continue;
+        }
+        allReady = false;
+        const bool isLoad = !hasStaged(*endpoint, group.model);
+        if (isLoad && !mayStartLoad(planning, engine))
+            continue;
+        order(planning, *endpoint, group, OrderKind::Join, "the group forms", isLoad);
+    }
+    if (allReady)
+        setStage(group, GroupStage::Opening, planning.now);
+}
+
+// Repeats an order to the head until its report shows the effect.
+void orderHead(Planning &planning, FleetGroup &group, const Endpoint &head, OrderKind kind,
+               std::string why)
+{
+    const bool isDue = planning.now - group.lastHeadOrder > planning.planner.options.orderTimeout;
+    if (isDue && order(planning, head, group, kind, std::move(why)))
+        group.lastHeadOrder = planning.now;
+}
+
+void startClosing(Planning &planning, FleetGroup &group, const EndpointId &missing)
+{
+    const bool planned = planning.heard(missing) != nullptr
+                         && (planning.heard(missing)->report.isDraining
+                             || planning.heard(missing)->hasLeft);
+    group.closeMode = planned ? CloseMode::FinishRequests : CloseMode::CutRequests;
+    setStage(group, GroupStage::Closing, planning.now);
+}
+
+// The head's life in the group has provably ended.
+bool hasEnded(const Planning &planning, const FleetGroup &group, const Endpoint &head)
+{
+    return head.isSucceeded || (planning.heard(head.report.id) && !isMember(head, group));
+}
+
+// A silent head may still serve behind a partition. Once its members have left, it breaks after the
+// stall timeout. Returns true when that time is over.
+bool abandonHead(Planning &planning, FleetGroup &group)
+{
+    bool anyLeft = false;
+    bool allLeft = true;
+    for (const EndpointId &id : group.members) {
+        const Endpoint *member = planning.heard(id);
+        if (!member || id == group.members.front())
+            continue;
+        if (!isMember(*member, group)) {
+            anyLeft = true;
+            continue;
+        }
+        allLeft = false;
+        order(planning, *member, group, OrderKind::Leave, "the head of the group is silent");
+    }
+    if (!anyLeft || !allLeft) {
+        group.abandonedSince = TimePoint{};
+        return false;
+    }
+    if (group.abandonedSince == TimePoint{})
+        group.abandonedSince = planning.now;
+    const GroupPlannerOptions &options = planning.planner.options;
+    return planning.now - group.abandonedSince > options.stallTimeout + options.stallMargin;
+}
+
+// Frees the members once the head cannot serve any more. Returns true when the group is over.
+bool finishClosing(Planning &planning, FleetGroup &group)
+{
+    const Endpoint *known = findEndpoint(planning.table, group.members.front());
+    if (known && hasEnded(planning, group, *known))
+        return true;
+    const Endpoint *head = planning.heard(group.members.front());
+    if (!head)
+        return group.members.size() == 1 || abandonHead(planning, group);
+    group.abandonedSince = TimePoint{};
+    switch (head->report.membership->phase) {
+    case MembershipPhase::Joining:
+    case MembershipPhase::Broken:
+        return true;
+    case MembershipPhase::Ready:
+        if (group.unansweredOpens == 0)
+            return true;
+        // A late open order must not find the head in the group any more.
+        orderHead(planning, group, *head, OrderKind::Leave, "an open order is unanswered");
+        return false;
+    case MembershipPhase::Open:
+    case MembershipPhase::Closing:
+        break;
+    }
+    if (planning.now - group.stageSince > planning.planner.options.closeTimeout)
+        group.closeMode = CloseMode::CutRequests;
+    orderHead(planning, group, *head, OrderKind::Close, "a member is missing");
+    return false;
+}
+
+void advanceGroup(Planning &planning, FleetGroup &group, const EngineProfile &engine, bool &isOver)
+{
+    const EndpointId *missing = missingMember(planning, group);
+    switch (group.stage) {
+    case GroupStage::Forming:
+        isOver = missing != nullptr
+                 || planning.now - group.stageSince > planning.planner.options.formingTimeout;
+        if (!isOver)
+            joinMembers(planning, group, engine);
+        return;
+    case GroupStage::Opening:
+    case GroupStage::Open:
+        if (missing) {
+            startClosing(planning, group, *missing);
+            return;
+        }
+        break;
+    case GroupStage::Closing:
+        isOver = finishClosing(planning, group);
+        return;
+    }
+    const Endpoint &head = *planning.usable(group.members.front());
+    const MembershipPhase phase = head.report.membership->phase;
+    if (phase == MembershipPhase::Open) {
+        if (group.stage == GroupStage::Opening)
+            setStage(group, GroupStage::Open, planning.now);
+    } else if (phase == MembershipPhase::Ready) {
+        orderHead(planning, group, head, OrderKind::Open, "all members are ready");
+    } else if (phase == MembershipPhase::Broken) {
+        isOver = true;
+    }
+}
+
+// What engines report of a group that this planner does not know.
+struct ReportedGroup
+{
+    FleetGroup group;
+    std::map<std::uint32_t, EndpointId> ranks;
+    bool isHeadHeard = false;
+    bool wasReady = false; // a member got past joining, so the group may have been opened
+    bool isHeard = false;
+    MembershipPhase headPhase = MembershipPhase::Joining;
+};
+
+std::map<std::string, ReportedGroup> unknownGroups(const Planning &planning)
+{
+    std::map<std::string, ReportedGroup> found;
+    for (const auto &[id, endpoint] : planning.table.endpoints) {
+        const auto &membership = endpoint.report.membership;
+        const bool unknown = membership && !planning.planner.groups.contains(membership->group)
+                             && !endpoint.isSucceeded;
+        if (!unknown)
+            continue;
+        ReportedGroup &reported = found[membership->group];
+        FleetGroup &group = reported.group;
+        group.name = membership->group;
+        group.epoch = membership->epoch;
+        group.service = endpoint.report.service;
+        group.model = modelOfGroup(membership->group);
+        group.fabric = endpoint.report.fabric;
+        reported.ranks[membership->rank] = id;
+        if (!planning.heard(id))
+            continue;
+        reported.isHeard = true;
+        reported.wasReady = reported.wasReady || membership->phase != MembershipPhase::Joining;
+        if (membership->rank == 0) {
+            reported.isHeadHeard = true;
+            reported.headPhase = membership->phase;
+        }
+    }
+    return found;
+}
+
+// Takes over the groups of an earlier leader. Groups that cannot go on are closed; those that were
+// never opened are forgotten, so that their members can be joined to others.
+void adoptGroups(Planning &planning)
+{
+    for (auto &[name, reported] : unknownGroups(planning)) {
+        if (!reported.isHeard || !reported.wasReady)
+            continue;
+        FleetGroup &group = reported.group;
+        for (const auto &[rank, id] : reported.ranks)
+            group.members.push_back(id);
+        if (!reported.ranks.contains(0))
+            group.members.insert(group.members.begin(), EndpointId{});
+        group.stageSince = planning.now;
+        group.unansweredOpens = 1;
+        group.closeMode = CloseMode::CutRequests;
+        const Service *service = findService(planning.config, group.service);
+        const ModelProfile *model =
+                service && service->engine ? findModel(*service->engine, group.model) : nullptr;
+        const bool complete = reported.isHeadHeard && model
+                              && reported.ranks.size() == model->vmsPerGroup;
+        if (complete && reported.headPhase == MembershipPhase::Open)
+            group.stage = GroupStage::Open;
+        else if (complete && reported.headPhase == MembershipPhase::Ready)
+            group.stage = GroupStage::Opening;
+        else
+            group.stage = GroupStage::Closing;
+        if (reported.isHeadHeard && reported.headPhase == MembershipPhase::Broken)
+            continue;
+        planning.planner.groups[name] = group;
+    }
+}
+
+bool isFree(const Planning &planning, const Endpoint &endpoint)
+{
+    const GroupPlanner &planner = planning.planner;
+    const auto &membership = endpoint.report.membership;
+    const bool inPlan =
+            std::any_of(planner.groups.begin(), planner.groups.end(), [&](const auto &item) {
+                const auto &members = item.second.members;
+                return std::find(members.begin(), members.end(), endpoint.report.id)
+                       != members.end();
+            });
+    if (inPlan || planner.orders.contains(endpoint.report.id))
+        return false;
+    const bool serves = membership && membership->rank == 0
+                        && (membership->phase == MembershipPhase::Open
+                            || membership->phase == MembershipPhase::Closing);
+    return !serves;
+}
+
+// Part of its work that the groups of a model can carry, relative to the other models.
+double servedShare(const Planning &planning, const std::string &service, const ModelProfile &model)
+{
+    double groups = 0;
+    for (const auto &[name, group] : planning.planner.groups) {
+        if (group.service == service && group.model == model.name
+            && group.stage != GroupStage::Closing)
+            groups += 1;
+    }
+    return groups / std::max(model.pace, 1e-3) / std::max(model.share, 1e-3);
+}
+
+// The neediest model that fits, unless a model that does not fit is much needier.
+const ModelProfile *chooseModel(const Planning &planning, const Service &service,
+                                std::size_t freeVms)
+{
+    const ModelProfile *chosen = nullptr;
+    double chosenShare = std::numeric_limits<double>::max();
+    double lowest = std::numeric_limits<double>::max();
+    for (const ModelProfile &model : service.engine->models) {
+        const double share = servedShare(planning, service.name, model);
+        lowest = std::min(lowest, share);
+        if (model.vmsPerGroup <= freeVms && share < chosenShare) {
+            chosen = &model;
+            chosenShare = share;
+        }
+    }
+    const bool balanced = chosenShare <= lowest * planning.planner.options.balanceTolerance;
+    return chosen && balanced ? chosen : nullptr;
+}
+
+// VMs that join fastest first: the model staged, then nothing staged; then by failure domain.
+void sortForModel(std::vector<const Endpoint *> &vms, const std::string &model)
+{
+    const auto rank = [&model](const Endpoint *vm) {
+        const bool staged = hasStaged(*vm, model);
+        return std::tuple(staged ? 0 : vm->report.stagedModels.empty() ? 1 : 2, vm->report.domain,
+                          vm->report.id);
+    };
+    std::sort(vms.begin(), vms.end(),
+              [&rank](const Endpoint *a, const Endpoint *b) { return rank(a) < rank(b); });
+}
+
+void formGroup(Planning &planning, const Service &service, const ModelProfile &model,
+               const std::string &fabric, std::vector<const Endpoint *> &free)
+{
+    sortForModel(free, model.name);
+    FleetGroup group;
+    group.epoch = planning.planner.nextEpoch++;
+    group.name = groupName(model.name, group.epoch);
+    group.service = service.name;
+    group.model = model.name;
+    group.fabric = fabric;
+    setStage(group, GroupStage::Forming, planning.now);
+    for (std::uint32_t i = 0; i < model.vmsPerGroup; ++i)
+        group.members.push_back(free[i]->report.id);
+    free.erase(free.begin(), free.begin() + model.vmsPerGroup);
+    FleetGroup &added = planning.planner.groups[group.name] = group;
+    joinMembers(planning, added, *service.engine);
+}
+
+// Loads the largest model onto a spare VM that holds none, so that a later repair is fast.
+void stageSpare(Planning &planning, const Service &service, const Endpoint &vm)
+{
+    const auto &models = service.engine->models;
+    const bool isStaging = planning.planner.stagingUntil.contains(vm.report.id);
+    if (!vm.report.stagedModels.empty() || models.empty() || isStaging)
+        return;
+    const auto largest = std::max_element(
+            models.begin(), models.end(), [](const ModelProfile &a, const ModelProfile &b) {
+                return a.share * a.vmsPerGroup < b.share * b.vmsPerGroup;
+            });
+    if (!mayStartLoad(planning, *service.engine))
+        return;
+    FleetGroup none;
+    none.model = largest->name;
+    if (order(planning, vm, none, OrderKind::Stage, "spare VM", true))
+        planning.planner.stagingUntil[vm.report.id] = planning.now + largest->loadTime;
+}
+
+void formGroups(Planning &planning, const Service &service)
+{
+    std::map<std::string, std::vector<const Endpoint *>> freeByFabric;
+    for (const auto &[id, endpoint] : planning.table.endpoints) {
+        const bool candidate = endpoint.report.service == service.name
+                               && planning.usable(id) && isFree(planning, endpoint);
+        if (candidate)
+            freeByFabric[endpoint.report.fabric].push_back(&endpoint);
+    }
+    // Fabrics with the most free VMs first, so that large groups find their place.
+    std::vector<std::string> fabrics;
+    for (const auto &[fabric, free] : freeByFabric)
+        fabrics.push_back(fabric);
+    std::stable_sort(fabrics.begin(), fabrics.end(), [&](const auto &a, const auto &b) {
+        return freeByFabric[a].size() > freeByFabric[b].size();
+    });
+    bool formed = true;
+    while (formed) {
+        formed = false;
+        for (const std::string &fabric : fabrics) {
+            auto &free = freeByFabric[fabric];
+            const ModelProfile *model = chooseModel(planning, service, free.size());
+            if (!model)
+                continue;
+            formGroup(planning, service, *model, fabric, free);
+            formed = true;
+        }
+    }
+    for (const auto &[fabric, free] : freeByFabric) {
+        for (const Endpoint *vm : free)
+            stageSpare(planning, service, *vm);
+    }
+}
+
+} // namespace
+
+GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term)
+{
+    GroupPlanner planner;
+    planner.options = options;
+    planner.fencingToken = term;
+    planner.nextEpoch = term * EpochsPerTerm + 1;
+    return planner;
+}
+
+std::vector<GroupOrder> planGroups(GroupPlanner &planner, const EndpointTable &table,
+                                   const ServiceConfiguration &config, TimePoint now)
+{
+    Planning planning{planner, table, config, now, {}};
+    dropOverdueOrders(planning);
+    std::erase_if(planner.stagingUntil, [now](const auto &item) { return item.second <= now; });
+    adoptGroups(planning);
+    for (auto item = planner.groups.begin(); item != planner.groups.end();) {
+        const Service *service = findService(config, item->second.service);
+        bool isOver = !service || !service->engine;
+        if (!isOver)
+            advanceGroup(planning, item->second, *service->engine, isOver);
+        item = isOver ? planner.groups.erase(item) : std::next(item);
+    }
+    for (const Service &service : config.services) {
+        if (service.engine)
+            formGroups(planning, service);
+    }
+    return std::move(planning.orders);
+}
+
+void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
+                      OrderOutcome outcome)
+{
+    const auto found = planner.orders.find(endpoint);
+    if (found == planner.orders.end() || found->second.number != number)
+        return;
+    const auto planned = planner.groups.find(found->second.group);
+    const bool isAnswered = outcome != OrderOutcome::Unanswered;
+    if (isAnswered && found->second.kind == OrderKind::Open && planned != planner.groups.end()
+        && planned->second.unansweredOpens > 0)
+        --planned->second.unansweredOpens;
+    // The next report shows an accepted join; until then no other order follows it.
+    const bool isPending = outcome == OrderOutcome::Accepted
+                           && found->second.kind == OrderKind::Join;
+    if (isPending || !isAnswered)
+        return;
+    planner.orders.erase(found);
+    const bool isLost = outcome == OrderOutcome::Outdated || outcome == OrderOutcome::WrongEndpoint;
+    if (isLost && planned != planner.groups.end() && planned->second.stage == GroupStage::Forming)
+        planner.groups.erase(planned);
+}
+
+std::string groupName(const std::string &model, std::uint64_t epoch)
+{
+    return model + "." + std::to_string(epoch);
+}
+
+std::string modelOfGroup(const std::string &group)
+{
+    return group.substr(0, group.rfind('.'));
+}
+
+const char *toString(OrderKind kind)
+{
+    return OrderNames[static_cast<std::size_t>(kind)];
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libfleet/groupplanner.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "libfleet/endpoints.h"
+#include "libfleet/serviceconfiguration.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+// Serving groups over engines that report themselves. The control leader alone runs this planner;
+// a new leader rebuilds its groups from the engines' reports. Pure: no I/O, no clock.
+
+namespace Trefoil {
+
+enum class OrderKind : std::uint8_t { Join, Open, Close, Leave, Stage };
+
+enum class CloseMode : std::uint8_t { FinishRequests, CutRequests };
+
+struct GroupOrder
+{
+    std::uint64_t number = 0; // identifies the order towards noteOrderOutcome
+    OrderKind kind = OrderKind::Join;
+    EndpointId endpoint;
+    std::string address;
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::uint64_t fencingToken = 0;
+    std::string model;
+    std::vector<EndpointId> members; // the first one is the head
+    CloseMode closeMode = CloseMode::FinishRequests;
+    std::string why;
+};
+
+enum class OrderOutcome : std::uint8_t {
+    Accepted,
+    NotFitting, // the engine's state does not allow it now
+    Outdated,   // a later epoch or fencing token was seen
+    WrongEndpoint,
+    Unanswered, // may still be carried out
+};
+
+enum class GroupStage : std::uint8_t { Forming, Opening, Open, Closing };
+
+struct FleetGroup
+{
+    std::string name;
+    std::uint64_t epoch = 0;
+    std::string service;
+    std::string model;
+    std::string fabric;
+    std::vector<EndpointId> members;
+    GroupStage stage = GroupStage::Forming;
+    TimePoint stageSince{};
+    CloseMode closeMode = CloseMode::FinishRequests;
+    TimePoint lastHeadOrder{}; // last order to the head after it joined
+    std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
+    TimePoint abandonedSince{}; // all known members have left a head that is silent
+};
+
+struct SentGroupOrder
+{
+    std::uint64_t number = 0;
+    OrderKind kind = OrderKind::Join;
+    std::string group;
+    TimePoint sentAt{};
+    bool isLoad = false; // starts a load from the weight store
+};
+
+struct GroupPlannerOptions
+{
+    Duration lossTimeout = std::chrono::milliseconds(3000);  // silence after which a VM is lost
+    Duration stallTimeout = std::chrono::milliseconds(6000); // a group without a VM is broken after
+    Duration stallMargin = std::chrono::milliseconds(1500);
+    Duration orderTimeout = std::chrono::milliseconds(1500); // for an answer, and between repeats
+    Duration formingTimeout = std::chrono::seconds(60);
+    Duration closeTimeout = std::chrono::seconds(10); // for requests in progress at a planned close
+    double balanceTolerance = 1.2; // relative excess of served share at which a model still grows
+    std::uint32_t initialConcurrentLoads = 48; // before the first request
+};
+
+struct GroupPlanner
+{
+    GroupPlannerOptions options;
+    std::uint64_t fencingToken = 0; // term of the leader
+    std::uint64_t nextEpoch = 1;    // above all epochs of earlier leaders
+    std::uint64_t nextOrder = 1;
+    bool hasTraffic = true;
+    std::map<std::string, FleetGroup> groups;
+    std::map<EndpointId, SentGroupOrder> orders;
+    std::map<EndpointId, TimePoint> stagingUntil; // spare VMs that load a model ahead
+    std::deque<TimePoint> loadStarts;
+};
+
+// Starts the planner of a new leader.
+GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term);
+
+// Orders that are due. Call at least every 100 ms and after each changed report.
+std::vector<GroupOrder> planGroups(GroupPlanner &planner, const EndpointTable &table,
+                                   const ServiceConfiguration &config, TimePoint now);
+
+void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
+                      OrderOutcome outcome);
+
+// Name of a group; its model can be read back from it.
+std::string groupName(const std::string &model, std::uint64_t epoch);
+std::string modelOfGroup(const std::string &group);
+
+const char *toString(OrderKind kind);
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/channel.cpp
@@ -0,0 +1,214 @@
+#include "libgateway/channel.h"
+
+#include "libruntime/address.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <stdexcept>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int UnackedTimeoutMs = 4000; // unacknowledged bytes end the connection after this
+constexpr int ListenBacklog = 1024;
+constexpr std::size_t ReadBytes = 64 * 1024;
+constexpr auto AcceptRetry = std::chrono::milliseconds(100);
+
+void setOptions(tcp::socket &socket)
+{
+    error_code ignored; // a socket that refuses an option still works
+    socket.set_option(tcp::no_delay(true), ignored);
+    const int timeout = UnackedTimeoutMs;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    socket.non_blocking(true, ignored);
+}
+
+tcp::endpoint toEndpoint(const std::string &text)
+{
+    const auto address = parseAddress(text);
+    if (!address)
+        throw std::invalid_argument("'" + text + "' is not an IP number and a port");
+    return {asio::ip::make_address(address->host), address->port};
+}
+
+} // namespace
+
+Channel::Channel(Socket socket, std::size_t capacity)
+    : socket_(std::move(socket))
+    , writeTimer_(socket_.get_executor())
+    , capacity_(capacity)
+{
+    setOptions(socket_);
+    error_code error;
+    const auto remote = socket_.remote_endpoint(error);
+    if (!error)
+        remoteAddress_ = remote.address().to_string();
+}
+
+void Channel::start()
+{
+    waitForInput();
+}
+
+void Channel::resume()
+{
+    if (!isReading_ && !isEnded_ && input_.size() < capacity_)
+        waitForInput();
+}
+
+void Channel::waitForInput()
+{
+    isReading_ = true;
+    socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const error_code &error) {
+        self->isReading_ = false;
+        if (error) {
+            self->isReset_ = true;
+            self->isEnded_ = true;
+        } else if (!self->isEnded_) {
+            self->readInput();
+        }
+        if (self->listener_)
+            self->listener_->notify();
+    });
+}
+
+void Channel::readInput()
+{
+    static std::array<char, ReadBytes> bytes;
+    error_code error;
+    const std::size_t count = socket_.read_some(asio::buffer(bytes), error);
+    input_.append(bytes.data(), count);
+    const bool isRetry = error == asio::error::would_block || error == asio::error::try_again;
+    if (error && !isRetry) {
+        isEnded_ = true;
+        isReset_ = error != asio::error::eof;
+        return;
+    }
+    resume();
+}
+
+asio::awaitable<bool> Channel::write(std::string_view bytes, TimePoint until)
+{
+    const auto self = shared_from_this();
+    if (!socket_.is_open())
+        co_return false;
+    // Most writes fit into the socket's buffer and need no timer.
+    error_code error;
+    const std::size_t written =
+            socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    const bool isFull = error == asio::error::would_block || error == asio::error::try_again;
+    if (error && !isFull) {
+        close();
+        co_return false;
+    }
+    if (!error && written == bytes.size())
+        co_return true;
+    bytes.remove_prefix(error ? 0 : written);
+    writeTimer_.expires_at(until);
+    writeTimer_.async_wait([self](const error_code &cancelled) {
+        if (!cancelled)
+            self->close();
+    });
+    const auto [failure, count] =
+            co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()),
+                                       asio::as_tuple(asio::use_awaitable));
+    writeTimer_.cancel();
+    if (failure)
+        close();
+    co_return !failure;
+}
+
+void Channel::close()
+{
+    error_code ignored; // the connection is given up in any case
+    socket_.close(ignored);
+    isEnded_ = true;
+}
+
+asio::awaitable<ChannelPointer> connectChannel(std::string address, Duration timeout,
+                                               std::size_t capacity, std::string &error)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    auto socket = std::make_shared<tcp::socket>(executor);
+    RuntimeTimer timer(executor, RuntimeClock::now() + timeout);
+    timer.async_wait([socket](const error_code &cancelled) {
+        error_code ignored; // the connect that is under way reports the end
+        if (!cancelled)
+            socket->close(ignored);
+    });
+    error_code failure;
+    try {
+        const auto [result] = co_await socket->async_connect(toEndpoint(address),
+                                                             asio::as_tuple(asio::use_awaitable));
+        failure = result;
+    } catch (const std::exception &invalid) {
+        error = invalid.what();
+        timer.cancel();
+        co_return nullptr;
+    }
+    timer.cancel();
+    if (failure || !socket->is_open()) {
+        error = failure ? failure.message() : "timed out";
+        co_return nullptr;
+    }
+    auto channel = std::make_shared<Channel>(std::move(*socket), capacity);
+    channel->start();
+    co_return channel;
+}
+
+ChannelListener::ChannelListener(asio::io_context &context, const std::string &address,
+                                 std::size_t capacity, Handler handler)
+    : acceptor_(context)
+    , retry_(context)
+    , capacity_(capacity)
+    , handler_(std::move(handler))
+{
+    const tcp::endpoint endpoint = toEndpoint(address);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen(ListenBacklog);
+    accept();
+}
+
+void ChannelListener::close()
+{
+    error_code ignored; // it is not used any more
+    acceptor_.close(ignored);
+}
+
+void ChannelListener::accept()
+{
+    acceptor_.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted)
+            return;
+        if (error) {
+            // Out of descriptors or memory; connections wait in the backlog meanwhile.
+            retry_.expires_after(AcceptRetry);
+            retry_.async_wait([this](const error_code &cancelled) {
+                if (!cancelled)
+                    accept();
+            });
+            return;
+        }
+        auto channel = std::make_shared<Channel>(std::move(socket), capacity_);
+        channel->start();
+        handler_(std::move(channel));
+        accept();
+    });
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/channel.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "libruntime/signal.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Trefoil {
+
+// A TCP connection whose input is read ahead into a bounded buffer, so that the end of the
+// connection is noticed while something else is waited for. Used on one thread.
+class Channel : public std::enable_shared_from_this<Channel>
+{
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    Channel(Socket socket, std::size_t capacity);
+
+    // Begins to read. Call once.
+    void start();
+
+    // Unread bytes; the user erases what it has consumed and calls resume().
+    std::string &input() { return input_; }
+    void resume();
+
+    bool isEnded() const { return isEnded_; }
+    bool isReset() const { return isReset_; } // ended by an error, not in order
+
+    // Notified after each change of the input or the end. Null removes the listener.
+    void setListener(Signal *listener) { listener_ = listener; }
+
+    // Writes all bytes. False when the connection failed or `until` passed; it is closed then.
+    boost::asio::awaitable<bool> write(std::string_view bytes, TimePoint until);
+
+    void close();
+
+    const std::string &remoteAddress() const { return remoteAddress_; }
+    boost::asio::any_io_executor executor() { return socket_.get_executor(); }
+
+private:
+    void waitForInput();
+    void readInput();
+
+    Socket socket_;
+    RuntimeTimer writeTimer_;
+    std::size_t capacity_;
+    std::string input_;
+    std::string remoteAddress_;
+    Signal *listener_ = nullptr;
+    bool isReading_ = false;
+    bool isEnded_ = false;
+    bool isReset_ = false;
+};
+
+using ChannelPointer = std::shared_ptr<Channel>;
+
+// Connects within the timeout. Null when it fails; `error` then says why.
+boost::asio::awaitable<ChannelPointer> connectChannel(std::string address, Duration timeout,
+                                                      std::size_t capacity, std::string &error);
+
+// Accepts connections on the address until the acceptor is closed.
+class ChannelListener
+{
+public:
+    using Handler = std::function<void(ChannelPointer)>;
+
+    // Throws when it cannot listen.
+    ChannelListener(boost::asio::io_context &context, const std::string &address,
+                    std::size_t capacity, Handler handler);
+
+    void close();
+
+private:
+    void accept();
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    RuntimeTimer retry_;
+    std::size_t capacity_;
+    Handler handler_;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/controlprocess.cpp
@@ -0,0 +1,748 @@
+#include "libgateway/controlprocess.h"
+
+#include "libruntime/clock.h"
+#include "libruntime/events.h"
+#include "libruntime/structuredlog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(50);
+constexpr auto PlanInterval = std::chrono::milliseconds(100);
+constexpr auto NewsDelay = std::chrono::milliseconds(5); // gathers changes into one message
+constexpr auto SignInterval = std::chrono::milliseconds(500);
+constexpr auto HelloInterval = std::chrono::milliseconds(500);
+constexpr auto LinkTimeout = std::chrono::milliseconds(2000);
+constexpr auto EntrySilence = std::chrono::milliseconds(1500); // then it leaves the entry list
+constexpr auto ConnectTimeout = std::chrono::milliseconds(600);
+constexpr auto ConnectRetry = std::chrono::milliseconds(300);
+constexpr auto PeerRetention = std::chrono::seconds(60); // of a control VM that is no seed
+constexpr auto EndpointRetention = std::chrono::minutes(5);
+constexpr auto LeaderWarmUp = std::chrono::milliseconds(700); // to hear of existing groups
+constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
+constexpr auto PublishTimeout = std::chrono::milliseconds(3000);
+constexpr auto StopDelay = std::chrono::milliseconds(300);
+constexpr auto SeatChangeInterval = std::chrono::milliseconds(400);
+constexpr std::size_t ChannelCapacity = 1024 * 1024;
+constexpr std::size_t MaxListedEntries = 64;
+
+std::uint32_t toMs(Duration duration)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 0));
+}
+
+KnownNode toKnownNode(const LinkHello &hello)
+{
+    return {hello.kind,          hello.name,    hello.domain, hello.internalAddress,
+            hello.publicAddress, hello.process, hello.isReady};
+}
+
+std::string joinTexts(std::span<const std::string> texts)
+{
+    std::string joined;
+    for (const std::string &text : texts)
+        joined += (joined.empty() ? "" : ",") + text;
+    return joined;
+}
+
+OrderOutcome outcomeOf(const HttpAnswer &answer)
+{
+    switch (answer.status) {
+    case 200:
+    case 202:
+        return OrderOutcome::Accepted;
+    case 400:
+    case 409:
+        return OrderOutcome::NotFitting;
+    case 412:
+        return OrderOutcome::Outdated;
+    case 421:
+        return OrderOutcome::WrongEndpoint;
+    default:
+        return OrderOutcome::Unanswered;
+    }
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(asio::io_context &context, GatewaySettings settings)
+    : context_(context)
+    , settings_(std::move(settings))
+    , dialect_(*findDialect(settings_.dialect))
+    , internalAddress_(settings_.address + ":" + std::to_string(settings_.internalPort))
+    , process_(wallTimeMs())
+    , tickTimer_(context)
+    , newsTimer_(context)
+    , rng_(std::random_device{}())
+{}
+
+ControlProcess::~ControlProcess() = default;
+
+void ControlProcess::start()
+{
+    ControlSeatKeeper::Handlers handlers;
+    handlers.send = [this](RaftMessage message) { sendRaft(std::move(message)); };
+    handlers.changed = [this] { seatChanged(); };
+    seat_ = std::make_unique<ControlSeatKeeper>(context_, settings_, std::move(handlers));
+    linkListener_ = std::make_unique<ChannelListener>(
+            context_, internalAddress_, ChannelCapacity,
+            [this](ChannelPointer channel) { accepted(std::move(channel)); });
+    const auto serve = [this](auto handler) {
+        return [this, handler](ChannelPointer channel) {
+            asio::co_spawn(
+                    context_,
+                    serveConnection(std::move(channel), ServerLimits{},
+                                    [this, handler](ServerRequest request) {
+                                        return (this->*handler)(std::move(request));
+                                    }),
+                    asio::detached);
+        };
+    };
+    controlListener_ =
+            std::make_unique<ChannelListener>(context_, settings_.controlListen, ChannelCapacity,
+                                              serve(&ControlProcess::handleControl));
+    if (!settings_.entryListListen.empty())
+        entryListListener_ = std::make_unique<ChannelListener>(
+                context_, settings_.entryListListen, ChannelCapacity,
+                serve(&ControlProcess::handleEntryList));
+    reload(settings_);
+    tick();
+    logEvent(Event::Started, {{"role", "control"}, {"address", internalAddress_}});
+}
+
+void ControlProcess::stop(std::function<void()> done)
+{
+    isStopping_ = true;
+    logEvent(Event::Stopping);
+    auto timer = std::make_shared<RuntimeTimer>(context_, RuntimeClock::now() + StopDelay);
+    timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) {
+        logEvent(Event::Stopped);
+        flushStructuredLog();
+        done();
+    });
+}
+
+void ControlProcess::reload(const GatewaySettings &settings)
+{
+    settings_.seeds = settings.seeds;
+    for (auto &[address, peer] : peers_)
+        peer.isSeed = false;
+    for (const std::string &seed : settings.seeds)
+        learnPeer(seed.substr(0, seed.rfind(':')) + ":" + std::to_string(settings_.internalPort),
+                  true);
+}
+
+void ControlProcess::tick()
+{
+    const TimePoint now = RuntimeClock::now();
+    seat_->tick();
+    connectPeers();
+    if (now >= nextHello_) {
+        nextHello_ = now + HelloInterval;
+        for (auto &[address, peer] : peers_) {
+            if (peer.link)
+                peer.link->send(ownHello());
+        }
+        broadcastTopology();
+        forgetEndpoints(table_, EndpointRetention, now);
+        flushStructuredLog();
+    }
+    if (now >= nextSigns_) {
+        nextSigns_ = now + SignInterval;
+        flushNews();
+    }
+    lead();
+    tickTimer_.expires_at(now + TickInterval);
+    tickTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+// ---- Links
+
+void ControlProcess::accepted(ChannelPointer channel)
+{
+    auto link = std::make_shared<Link>(
+            std::move(channel), LinkTimeout,
+            [this](Link &from, LinkMessage &&message) { linkMessage(from, std::move(message)); },
+            [this](Link &from, const std::string &reason) { linkEnded(from, reason); });
+    accepted_[link.get()] = link;
+    link->start();
+    link->send(topology());
+    link->send(wholeTable());
+    link->send(ConfigurationOffer{seat_->services().version});
+}
+
+void ControlProcess::learnPeer(const std::string &address, bool isSeed)
+{
+    if (address == internalAddress_ || address.empty())
+        return;
+    Peer &peer = peers_[address];
+    peer.isSeed = peer.isSeed || isSeed;
+    if (peer.lastUseful == TimePoint{})
+        peer.lastUseful = RuntimeClock::now();
+}
+
+void ControlProcess::connectPeers()
+{
+    const TimePoint now = RuntimeClock::now();
+    for (auto &[address, peer] : peers_) {
+        if (peer.link || peer.isConnecting || now < peer.retryAt)
+            continue;
+        peer.isConnecting = true;
+        asio::co_spawn(context_, connectPeer(address), asio::detached);
+    }
+    std::erase_if(peers_, [now](const auto &item) {
+        const Peer &peer = item.second;
+        return !peer.link && !peer.isConnecting && !peer.isSeed
+               && now - peer.lastUseful > PeerRetention;
+    });
+}
+
+asio::awaitable<void> ControlProcess::connectPeer(std::string address)
+{
+    std::string error;
+    ChannelPointer channel =
+            co_await connectChannel(address, ConnectTimeout, ChannelCapacity, error);
+    const auto found = peers_.find(address);
+    if (found == peers_.end())
+        co_return;
+    Peer &peer = found->second;
+    peer.isConnecting = false;
+    peer.retryAt = RuntimeClock::now() + ConnectRetry;
+    if (!channel)
+        co_return;
+    peer.link = std::make_shared<Link>(
+            std::move(channel), LinkTimeout,
+            [this](Link &from, LinkMessage &&message) { linkMessage(from, std::move(message)); },
+            [this, address](Link &, const std::string &reason) {
+                logEvent(Event::LinkLost, {{"peer", address}, {"reason", reason}});
+                const auto lost = peers_.find(address);
+                if (lost != peers_.end())
+                    lost->second.link = nullptr;
+            });
+    peer.lastUseful = RuntimeClock::now();
+    logEvent(Event::LinkConnected, {{"peer", address}});
+    peer.link->start();
+    peer.link->send(ownHello());
+}
+
+void ControlProcess::linkMessage(Link &link, LinkMessage &&message)
+{
+    if (auto *hello = std::get_if<LinkHello>(&message)) {
+        const bool isKnown = link.hasHello && toKnownNode(link.hello) == toKnownNode(*hello);
+        link.hello = std::move(*hello);
+        link.hasHello = true;
+        hasTraffic_ = hasTraffic_ || link.hello.requests > 0;
+        if (link.hello.kind == NodeKind::Control) {
+            learnPeer(link.hello.internalAddress, false);
+            const auto peer = peers_.find(link.hello.internalAddress);
+            if (peer != peers_.end())
+                peer->second.publicAddress = link.hello.publicAddress;
+        }
+        if (!isKnown)
+            broadcastTopology();
+        // The answer keeps the link alive in the other direction.
+        link.send(ConfigurationOffer{seat_->services().version});
+    } else if (auto *raft = std::get_if<RaftEnvelope>(&message)) {
+        for (const RaftMessage &item : raft->messages)
+            seat_->receive(item);
+    } else if (auto *news = std::get_if<EndpointNews>(&message)) {
+        takeNews(*news);
+    } else if (auto *known = std::get_if<Topology>(&message)) {
+        for (const KnownNode &node : known->nodes) {
+            if (node.kind != NodeKind::Control)
+                continue;
+            learnPeer(node.internalAddress, false);
+            const auto peer = peers_.find(node.internalAddress);
+            if (peer != peers_.end())
+                peer->second.publicAddress = node.publicAddress;
+        }
+    } else if (std::get_if<ConfigurationRequest>(&message)) {
+        const PublishedServices &services = seat_->services();
+        if (services.version > 0)
+            link.send(ConfigurationDocument{services.version, services.document});
+    }
+}
+
+void ControlProcess::linkEnded(Link &link, const std::string &reason)
+{
+    if (link.hasHello)
+        logEvent(Event::LinkLost, {{"peer", link.hello.name}, {"reason", reason}});
+    accepted_.erase(&link);
+    broadcastTopology();
+}
+
+LinkHello ControlProcess::ownHello() const
+{
+    LinkHello hello;
+    hello.kind = NodeKind::Control;
+    hello.name = settings_.name;
+    hello.domain = settings_.domain;
+    hello.internalAddress = internalAddress_;
+    hello.publicAddress = settings_.controlListen;
+    hello.process = process_;
+    hello.seat = seat_->id();
+    hello.isReady = !isStopping_ && !seat_->isFailed();
+    return hello;
+}
+
+Topology ControlProcess::topology() const
+{
+    Topology topology;
+    topology.nodes.push_back(toKnownNode(ownHello()));
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[pointer, link] : accepted_) {
+        if (link->hasHello && now - link->lastHeard < EntrySilence)
+            topology.nodes.push_back(toKnownNode(link->hello));
+    }
+    return topology;
+}
+
+void ControlProcess::broadcastTopology()
+{
+    Topology current = topology();
+    if (current.nodes == lastTopology_.nodes)
+        return;
+    lastTopology_ = current;
+    broadcast(current);
+}
+
+void ControlProcess::broadcast(const LinkMessage &message)
+{
+    const auto links = accepted_; // a link that fails removes itself
+    for (const auto &[pointer, link] : links)
+        link->send(message);
+}
+
+void ControlProcess::sendRaft(RaftMessage message)
+{
+    for (const Seat &seat : seat_->seats()) {
+        if (seat.id != message.to)
+            continue;
+        const auto peer = peers_.find(seat.entry);
+        if (peer == peers_.end())
+            learnPeer(seat.entry, false);
+        else if (peer->second.link)
+            peer->second.link->send(RaftEnvelope{{std::move(message)}});
+        return;
+    }
+    // A vote or reply may go to a seat that is not in the own seat set yet.
+    for (auto &[address, peer] : peers_) {
+        if (peer.link && peer.link->hasHello && peer.link->hello.seat == message.to) {
+            peer.link->send(RaftEnvelope{{std::move(message)}});
+            return;
+        }
+    }
+    for (auto &[pointer, link] : accepted_) {
+        const bool isTarget = link->hasHello && link->hello.seat == message.to;
+        if (!isTarget)
+            continue;
+        const auto peer = peers_.find(link->hello.internalAddress);
+        if (peer != peers_.end() && peer->second.link)
+            peer->second.link->send(RaftEnvelope{{std::move(message)}});
+        return;
+    }
+}
+
+void ControlProcess::seatChanged()
+{
+    if (!seat_)
+        return;
+    const std::uint64_t version = seat_->services().version;
+    if (version <= offeredVersion_)
+        return;
+    offeredVersion_ = version;
+    logEvent(Event::ConfigurationApplied, {{"version", std::to_string(version)}});
+    broadcast(ConfigurationOffer{version});
+}
+
+// ---- Endpoints
+
+ServerResponse ControlProcess::heartbeat(const SystemCall &call, const std::string &body)
+{
+    auto decoded = dialect_.decodeHeartbeat(call.endpoint, body);
+    if (const auto *error = std::get_if<std::string>(&decoded)) {
+        logEvent(Event::EndpointReportInvalid, {{"endpoint", call.endpoint}, {"error", *error}});
+        return failure(400, *error);
+    }
+    const auto &report = std::get<EndpointReport>(decoded);
+    const ReportOutcome outcome = takeReport(table_, report, Duration::zero(), RuntimeClock::now());
+    if (outcome == ReportOutcome::Changed)
+        noteChanged(report.id);
+    else if (outcome == ReportOutcome::Refreshed)
+        noteSign(report.id);
+    ServerResponse response;
+    response.body = dialect_.encodeHeartbeatReply();
+    return response;
+}
+
+ServerResponse ControlProcess::departure(const SystemCall &call, const std::string &body)
+{
+    const std::uint64_t startedAt = dialect_.decodeDeparture(body);
+    if (takeDeparture(table_, call.endpoint, startedAt, RuntimeClock::now()))
+        noteChanged(call.endpoint);
+    ServerResponse response;
+    response.body = dialect_.encodeHeartbeatReply();
+    return response;
+}
+
+void ControlProcess::noteChanged(const EndpointId &endpoint)
+{
+    const Endpoint *known = findEndpoint(table_, endpoint);
+    const auto &membership = known->report.membership;
+    logEvent(Event::EndpointChanged,
+             {{"endpoint", endpoint},
+              {"service", known->report.service},
+              {"address", known->report.address},
+              {"draining", known->report.isDraining ? "yes" : "no"},
+              {"left", known->hasLeft ? "yes" : "no"},
+              {"group", membership ? membership->group : ""},
+              {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
+    changed_.insert(endpoint);
+    nextPlan_ = TimePoint{};
+    if (isNewsDue_)
+        return;
+    isNewsDue_ = true;
+    newsTimer_.expires_after(NewsDelay);
+    newsTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        flushNews();
+        lead();
+    });
+}
+
+void ControlProcess::noteSign(const EndpointId &endpoint)
+{
+    heard_.insert(endpoint);
+}
+
+void ControlProcess::flushNews()
+{
+    isNewsDue_ = false;
+    if (changed_.empty() && heard_.empty())
+        return;
+    const TimePoint now = RuntimeClock::now();
+    EndpointNews news;
+    for (const EndpointId &id : changed_) {
+        if (const Endpoint *known = findEndpoint(table_, id))
+            news.items.push_back({known->report, toMs(now - known->lastHeard), known->hasLeft});
+    }
+    for (const EndpointId &id : heard_) {
+        const Endpoint *known = findEndpoint(table_, id);
+        if (known && !changed_.contains(id))
+            news.signs.push_back({id, known->report.startedAtMs, toMs(now - known->lastHeard)});
+    }
+    changed_.clear();
+    heard_.clear();
+    broadcast(news);
+}
+
+EndpointNews ControlProcess::wholeTable() const
+{
+    EndpointNews news;
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[id, known] : table_.endpoints)
+        news.items.push_back({known.report, toMs(now - known.lastHeard), known.hasLeft});
+    return news;
+}
+
+void ControlProcess::takeNews(const EndpointNews &news)
+{
+    applyNews(table_, news, RuntimeClock::now());
+    nextPlan_ = TimePoint{};
+}
+
+// ---- Operators and callers
+
+ServerResponse ControlProcess::failure(std::uint32_t status, const std::string &text) const
+{
+    ServerResponse response;
+    response.status = status;
+    response.body = dialect_.encodeError(text);
+    return response;
+}
+
+asio::awaitable<ServerResponse> ControlProcess::handleControl(ServerRequest request)
+{
+    const SystemCall call = dialect_.parseCall(request.head.method, request.head.target);
+    switch (call.kind) {
+    case CallKind::Heartbeat:
+        co_return heartbeat(call, request.body);
+    case CallKind::Departure:
+        co_return departure(call, request.body);
+    case CallKind::ReadConfiguration:
+        co_return readConfiguration(request);
+    case CallKind::PublishConfiguration: {
+        ServerResponse response = co_await publish(std::move(request));
+        co_return response;
+    }
+    case CallKind::EntryList:
+        co_return entryList(call);
+    default:
+        break;
+    }
+    if (request.head.method == "GET" && request.head.target == "/metrics")
+        co_return metrics();
+    co_return failure(404, "no such call");
+}
+
+asio::awaitable<ServerResponse> ControlProcess::handleEntryList(ServerRequest request)
+{
+    const SystemCall call = dialect_.parseCall(request.head.method, request.head.target);
+    if (call.kind != CallKind::EntryList)
+        co_return failure(404, "no such call");
+    co_return entryList(call);
+}
+
+ServerResponse ControlProcess::entryList(const SystemCall & /*call*/)
+{
+    std::vector<std::string> addresses;
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[pointer, link] : accepted_) {
+        const bool usable = link->hasHello && link->hello.kind == NodeKind::Entry
+                            && link->hello.isReady && now - link->lastHeard < EntrySilence;
+        if (usable)
+            addresses.push_back(link->hello.publicAddress);
+    }
+    ++entryLists_;
+    if (addresses.empty())
+        return failure(503, "no entry is ready");
+    std::shuffle(addresses.begin(), addresses.end(), rng_);
+    addresses.resize(std::min(addresses.size(), MaxListedEntries));
+    ServerResponse response;
+    response.body = dialect_.encodeEntryList(addresses, settings_.entryListLifetime);
+    return response;
+}
+
+ServerResponse ControlProcess::redirectToLeader(const ServerRequest &request)
+{
+    const SeatId leader = seat_->leader();
+    for (const Seat &seat : seat_->seats()) {
+        if (seat.id != leader || leader == seat_->id())
+            continue;
+        const auto peer = peers_.find(seat.entry);
+        const bool known = peer != peers_.end() && peer->second.link
+                           && !peer->second.publicAddress.empty();
+        if (!known)
+            break;
+        ServerResponse response;
+        response.status = 307;
+        response.fields.push_back(
+                {"Location", "http://" + peer->second.publicAddress + request.head.target});
+        return response;
+    }
+    return failure(503, "no leader is known");
+}
+
+ServerResponse ControlProcess::readConfiguration(const ServerRequest &request)
+{
+    if (!seat_->isActingLeader())
+        return redirectToLeader(request);
+    const PublishedServices &services = seat_->services();
+    if (services.version == 0)
+        return failure(503, "no configuration has been published");
+    ServerResponse response;
+    response.body = services.document;
+    return response;
+}
+
+asio::awaitable<ServerResponse> ControlProcess::publish(ServerRequest request)
+{
+    const DecodedConfiguration decoded = dialect_.decodeConfiguration(request.body);
+    if (!decoded.config) {
+        const std::string findings = toText(decoded.findings);
+        logEvent(Event::ConfigurationRefused, {{"findings", findings}});
+        co_return failure(400, findings);
+    }
+    if (!seat_->isActingLeader())
+        co_return redirectToLeader(request);
+    const std::uint64_t version = decoded.config->version;
+    if (version <= seat_->services().version) {
+        logEvent(Event::ConfigurationPublished,
+                 {{"version", std::to_string(version)},
+                  {"current", std::to_string(seat_->services().version)},
+                  {"outcome", "unchanged"}});
+        co_return ServerResponse{};
+    }
+    struct Waiting
+    {
+        explicit Waiting(const asio::any_io_executor &executor)
+            : signal(executor)
+        {}
+        Signal signal;
+        bool isDone = false;
+        bool isApplied = false;
+    };
+    auto waiting = std::make_shared<Waiting>(context_.get_executor());
+    const bool isProposed =
+            seat_->publish(version, std::move(request.body), [waiting](bool isApplied) {
+                waiting->isDone = true;
+                waiting->isApplied = isApplied;
+                waiting->signal.notify();
+            });
+    const TimePoint until = RuntimeClock::now() + PublishTimeout;
+    while (isProposed && !waiting->isDone && RuntimeClock::now() < until)
+        co_await waiting->signal.wait(until);
+    const bool isAccepted = waiting->isApplied;
+    logEvent(Event::ConfigurationPublished,
+             {{"version", std::to_string(version)},
+              {"outcome", isAccepted ? "accepted" : "not confirmed"}});
+    if (!isAccepted)
+        co_return failure(503, "the configuration could not be confirmed");
+    co_return ServerResponse{};
+}
+
+ServerResponse ControlProcess::metrics() const
+{
+    std::string text;
+    const auto gauge = [&text](const std::string &name, double value) {
+        text += "trefoil_" + name + " " + std::to_string(value) + "\n";
+    };
+    std::size_t usable = 0;
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[id, endpoint] : table_.endpoints)
+        usable += isUsable(endpoint, lossTimeout(), now) ? 1 : 0;
+    std::map<GroupStage, int> stages;
+    std::size_t inGroups = 0;
+    if (planner_) {
+        for (const auto &[name, group] : planner_->groups) {
+            ++stages[group.stage];
+            inGroups += group.members.size();
+        }
+    }
+    gauge("configuration_version", static_cast<double>(seat_->services().version));
+    gauge("is_leader", seat_->isActingLeader() ? 1 : 0);
+    gauge("term", static_cast<double>(seat_->term()));
+    gauge("seats", static_cast<double>(seat_->seats().size()));
+    gauge("links_accepted", static_cast<double>(accepted_.size()));
+    gauge("endpoints_known", static_cast<double>(table_.endpoints.size()));
+    gauge("endpoints_usable", static_cast<double>(usable));
+    gauge("vms_in_groups", static_cast<double>(inGroups));
+    gauge("groups_forming", stages[GroupStage::Forming]);
+    gauge("groups_opening", stages[GroupStage::Opening]);
+    gauge("groups_open", stages[GroupStage::Open]);
+    gauge("groups_closing", stages[GroupStage::Closing]);
+    gauge("orders_sent_total", static_cast<double>(ordersSent_));
+    gauge("orders_unanswered_total", static_cast<double>(ordersUnanswered_));
+    gauge("entry_lists_total", static_cast<double>(entryLists_));
+    ServerResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = std::move(text);
+    return response;
+}
+
+// ---- Leader
+
+Duration ControlProcess::lossTimeout() const
+{
+    return settings_.heartbeat * 5 / 2;
+}
+
+const ServiceConfiguration *ControlProcess::configuration()
+{
+    const PublishedServices &services = seat_->services();
+    if (services.version != decodedVersion_) {
+        decodedVersion_ = services.version;
+        decoded_ = dialect_.decodeConfiguration(services.document).config;
+    }
+    return decoded_ ? &*decoded_ : nullptr;
+}
+
+void ControlProcess::lead()
+{
+    const TimePoint now = RuntimeClock::now();
+    const bool leads = seat_->isActingLeader();
+    if (leads != wasLeader_) {
+        wasLeader_ = leads;
+        leadsSince_ = now;
+        planner_.reset();
+        logEvent(leads ? Event::LeaderElected : Event::LeaderLost,
+                 {{"term", std::to_string(seat_->term())}});
+        if (leads) {
+            GroupPlannerOptions options;
+            options.lossTimeout = lossTimeout();
+            options.stallTimeout = settings_.stallTimeout;
+            planner_ = makeGroupPlanner(options, seat_->term());
+        }
+    }
+    if (!leads || now < nextPlan_)
+        return;
+    nextPlan_ = now + PlanInterval;
+    manageSeats(now);
+    const ServiceConfiguration *config = configuration();
+    if (!config || now - leadsSince_ < LeaderWarmUp)
+        return;
+    planner_->hasTraffic = hasTraffic_;
+    for (GroupOrder &order : planGroups(*planner_, table_, *config, now)) {
+        logEvent(Event::GroupOrdered, {{"order", toString(order.kind)},
+                                       {"endpoint", order.endpoint},
+                                       {"group", order.group},
+                                       {"epoch", std::to_string(order.epoch)},
+                                       {"members", joinTexts(order.members)},
+                                       {"why", order.why}});
+        ++ordersSent_;
+        asio::co_spawn(context_, execute(std::move(order)), asio::detached);
+    }
+}
+
+void ControlProcess::manageSeats(TimePoint now)
+{
+    std::vector<SeatCandidate> candidates;
+    candidates.push_back({seat_->id(), internalAddress_, settings_.domain});
+    for (const auto &[pointer, link] : accepted_) {
+        const LinkHello &hello = link->hello;
+        const bool usable = link->hasHello && hello.kind == NodeKind::Control && hello.isReady
+                            && hello.seat != NoSeat;
+        if (usable)
+            candidates.push_back({hello.seat, hello.internalAddress, hello.domain});
+    }
+    SeatPlanOptions options;
+    options.seats = 2 * settings_.toleratedLosses + 1;
+    const SeatSet current = seat_->seats();
+    const auto contacts = seat_->contacts();
+    auto next = planSeats(current, seat_->id(), contacts, candidates, options, now);
+    if (!next || now < nextSeatChange_)
+        return;
+    nextSeatChange_ = now + SeatChangeInterval;
+    std::string names;
+    for (const Seat &seat : *next)
+        names += (names.empty() ? "" : ",") + seat.entry + (seat.voter ? "" : "(learner)");
+    logEvent(Event::SeatsChanged, {{"seats", names}});
+    seat_->changeSeats(std::move(*next));
+}
+
+asio::awaitable<void> ControlProcess::execute(GroupOrder order)
+{
+    HttpCall call;
+    call.address = order.address;
+    call.target = dialect_.orderPath;
+    call.body = dialect_.encodeOrder(order);
+    call.fields.push_back({dialect_.headers.expectEndpoint, order.endpoint});
+    call.timeout = OrderTimeout;
+    const HttpAnswer answer = co_await callHttp(std::move(call));
+    const OrderOutcome outcome = outcomeOf(answer);
+    ordersUnanswered_ += outcome == OrderOutcome::Unanswered ? 1 : 0;
+    logEvent(Event::OrderAnswered, {{"order", toString(order.kind)},
+                                    {"endpoint", order.endpoint},
+                                    {"group", order.group},
+                                    {"status", std::to_string(answer.status)},
+                                    {"error", answer.error}});
+    if (!planner_ || planner_->fencingToken != order.fencingToken)
+        co_return;
+    noteOrderOutcome(*planner_, order.endpoint, order.number, outcome);
+    nextPlan_ = TimePoint{};
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/entryprocess.cpp
@@ -0,0 +1,447 @@
+#include "libgateway/entryprocess.h"
+
+#include "libgateway/relaysession.h"
+#include "libruntime/address.h"
+#include "libruntime/clock.h"
+#include "libruntime/events.h"
+#include "libruntime/structuredlog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(50);
+constexpr auto HelloInterval = std::chrono::milliseconds(500);
+constexpr auto LinkTimeout = std::chrono::milliseconds(2000);
+constexpr auto ConnectTimeout = std::chrono::milliseconds(600);
+constexpr auto ConnectRetry = std::chrono::milliseconds(300);
+constexpr auto ControlRetention = std::chrono::seconds(60); // of a control VM that is no seed
+constexpr auto EndpointRetention = std::chrono::minutes(5);
+constexpr auto ConfigurationRetry = std::chrono::milliseconds(400);
+constexpr auto ShortestDigestInterval = std::chrono::milliseconds(100);
+constexpr auto DigestIntervalPerPeer = std::chrono::milliseconds(10);
+constexpr auto StopMargin = std::chrono::milliseconds(500); // before the bound of a planned stop
+constexpr auto LeastStopTime = std::chrono::milliseconds(4500); // until callers know of the stop
+constexpr std::size_t ChannelCapacity = 256 * 1024;
+constexpr std::size_t LinkCapacity = 4 * 1024 * 1024;
+constexpr std::size_t MaxDatagram = 32 * 1024;
+constexpr std::size_t ReservedDescriptors = 260; // of files, links and listeners
+constexpr double SessionShare = 0.6; // of the descriptors, the rest is for endpoints
+
+PlacementState makePlacement(const GatewaySettings &settings)
+{
+    PlacementState placement;
+    placement.domain = settings.domain;
+    placement.options.silence = settings.heartbeat * 5 / 2;
+    placement.rng.seed(std::random_device{}());
+    return placement;
+}
+
+WindowedBudget makeRetryBudget(const GatewaySettings &settings)
+{
+    WindowedBudget budget;
+    budget.options = settings.retryBudget;
+    budget.options.safety = WindowedBudgetOptions{}.safety;
+    return budget;
+}
+
+udp::endpoint toUdpEndpoint(const std::string &text)
+{
+    const auto address = parseAddress(text);
+    return {asio::ip::make_address(address->host), address->port};
+}
+
+} // namespace
+
+EntryState::EntryState(asio::io_context &ioContext, GatewaySettings gatewaySettings)
+    : context(ioContext)
+    , settings(std::move(gatewaySettings))
+    , dialect(*findDialect(settings.dialect))
+    , placement(makePlacement(settings))
+    , retryBudget(makeRetryBudget(settings))
+{}
+
+EntryProcess::EntryProcess(asio::io_context &context, GatewaySettings settings)
+    : context_(context)
+    , state_(context, std::move(settings))
+    , internalAddress_(state_.settings.address + ":"
+                       + std::to_string(state_.settings.internalPort))
+    , process_(wallTimeMs())
+    , digests_(context, toUdpEndpoint(internalAddress_))
+    , tickTimer_(context)
+{}
+
+EntryProcess::~EntryProcess() = default;
+
+void EntryProcess::start()
+{
+    digests_.non_blocking(true);
+    receiveDigests();
+    reload(state_.settings);
+    const auto maxSessions = static_cast<std::size_t>(
+            SessionShare
+            * static_cast<double>(
+                    std::max<std::size_t>(state_.settings.maxConnections, ReservedDescriptors + 16)
+                    - ReservedDescriptors));
+    callerListener_ = std::make_unique<ChannelListener>(
+            context_, state_.settings.callerListen, ChannelCapacity,
+            [this, maxSessions](ChannelPointer channel) {
+                if (state_.sessionSignals.size() >= maxSessions) {
+                    state_.metrics.addCount("trefoil_connections_refused_total", "");
+                    channel->close();
+                    return;
+                }
+                asio::co_spawn(context_, runRelaySession(state_, std::move(channel)),
+                               asio::detached);
+            });
+    if (!state_.settings.readinessListen.empty())
+        readinessListener_ = std::make_unique<ChannelListener>(
+                context_, state_.settings.readinessListen, ChannelCapacity,
+                [this](ChannelPointer channel) {
+                    asio::co_spawn(context_,
+                                   serveConnection(std::move(channel), ServerLimits{},
+                                                   [this](ServerRequest request) {
+                                                       return handleReadiness(std::move(request));
+                                                   }),
+                                   asio::detached);
+                });
+    lastTick_ = RuntimeClock::now();
+    tick();
+    logEvent(Event::Started, {{"role", "entry"}, {"address", state_.settings.callerListen}});
+}
+
+void EntryProcess::stop(std::function<void()> done)
+{
+    if (state_.isDraining)
+        return; // a second signal does not hurry the stop
+    logEvent(Event::Stopping,
+             {{"active_requests", std::to_string(state_.activeRequests)}});
+    stopped_ = std::move(done);
+    state_.isDraining = true;
+    state_.drainingSince = RuntimeClock::now();
+    sendHello();
+    for (Signal *signal : state_.sessionSignals)
+        signal->notify();
+}
+
+void EntryProcess::reload(const GatewaySettings &settings)
+{
+    state_.settings.seeds = settings.seeds;
+    for (auto &[address, control] : controls_)
+        control.isSeed = false;
+    for (const std::string &seed : settings.seeds)
+        learnControl(seed.substr(0, seed.rfind(':')) + ":"
+                             + std::to_string(state_.settings.internalPort),
+                     true);
+}
+
+void EntryProcess::tick()
+{
+    const TimePoint now = RuntimeClock::now();
+    if (now - lastTick_ > 10 * TickInterval)
+        logEvent(Event::Paused,
+                 {{"ms", std::to_string(
+                                 std::chrono::duration_cast<std::chrono::milliseconds>(now
+                                                                                       - lastTick_)
+                                         .count())}});
+    lastTick_ = now;
+    connectControls();
+    if (now >= nextHello_) {
+        nextHello_ = now + HelloInterval;
+        sendHello();
+        requestConfiguration();
+        forgetEndpoints(state_.placement.table, EndpointRetention, now);
+        state_.pool.expire(now);
+        flushStructuredLog();
+    }
+    if (now >= nextDigest_)
+        sendDigests(now);
+    checkStopped();
+    tickTimer_.expires_at(now + TickInterval);
+    tickTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            tick();
+    });
+}
+
+// ---- Control VMs
+
+void EntryProcess::learnControl(const std::string &address, bool isSeed)
+{
+    if (address.empty())
+        return;
+    ControlLink &control = controls_[address];
+    control.isSeed = control.isSeed || isSeed;
+    if (control.lastUseful == TimePoint{})
+        control.lastUseful = RuntimeClock::now();
+}
+
+void EntryProcess::connectControls()
+{
+    const TimePoint now = RuntimeClock::now();
+    for (auto &[address, control] : controls_) {
+        if (control.link || control.isConnecting || now < control.retryAt)
+            continue;
+        control.isConnecting = true;
+        asio::co_spawn(context_, connectControl(address), asio::detached);
+    }
+    std::erase_if(controls_, [now](const auto &item) {
+        const ControlLink &control = item.second;
+        return !control.link && !control.isConnecting && !control.isSeed
+               && now - control.lastUseful > ControlRetention;
+    });
+}
+
+asio::awaitable<void> EntryProcess::connectControl(std::string address)
+{
+    std::string error;
+    ChannelPointer channel =
+            co_await connectChannel(address, ConnectTimeout, LinkCapacity, error);
+    const auto found = controls_.find(address);
+    if (found == controls_.end())
+        co_return;
+    ControlLink &control = found->second;
+    control.isConnecting = false;
+    control.retryAt = RuntimeClock::now() + ConnectRetry;
+    if (!channel)
+        co_return;
+    control.link = std::make_shared<Link>(
+            std::move(channel), LinkTimeout,
+            [this, address](Link &link, LinkMessage &&message) {
+                linkMessage(address, link, std::move(message));
+            },
+            [this, address](Link &, const std::string &reason) {
+                logEvent(Event::LinkLost, {{"peer", address}, {"reason", reason}});
+                const auto lost = controls_.find(address);
+                if (lost == controls_.end())
+                    return;
+                lost->second.link = nullptr;
+                lost->second.offered = 0;
+            });
+    control.lastUseful = RuntimeClock::now();
+    logEvent(Event::LinkConnected, {{"peer", address}});
+    control.link->start();
+    control.link->send(ownHello());
+}
+
+void EntryProcess::linkMessage(const std::string &address, Link &link, LinkMessage &&message)
+{
+    ControlLink &control = controls_[address];
+    if (auto *news = std::get_if<EndpointNews>(&message)) {
+        applyNews(state_.placement.table, *news, RuntimeClock::now());
+    } else if (auto *known = std::get_if<Topology>(&message)) {
+        control.nodes = std::move(known->nodes);
+        for (const KnownNode &node : control.nodes) {
+            if (node.kind == NodeKind::Control)
+                learnControl(node.internalAddress, false);
+        }
+        refreshPeers();
+    } else if (const auto *offer = std::get_if<ConfigurationOffer>(&message)) {
+        control.offered = offer->version;
+        requestConfiguration();
+    } else if (const auto *document = std::get_if<ConfigurationDocument>(&message)) {
+        takeDocument(*document);
+    }
+    control.lastUseful = link.lastHeard;
+}
+
+// Asks one of the control VMs that offer the newest version.
+void EntryProcess::requestConfiguration()
+{
+    std::uint64_t newest = state_.config ? state_.config->version : 0;
+    ControlLink *best = nullptr;
+    for (auto &[address, control] : controls_) {
+        if (control.link && control.offered > newest) {
+            newest = control.offered;
+            best = &control;
+        }
+    }
+    const TimePoint now = RuntimeClock::now();
+    const bool isUnderWay = requestedVersion_ == newest && now - requestedAt_ < ConfigurationRetry;
+    if (!best || isUnderWay)
+        return;
+    requestedVersion_ = newest;
+    requestedAt_ = now;
+    best->link->send(ConfigurationRequest{newest});
+    // Another control VM may answer the repeated request.
+    best->offered = 0;
+}
+
+void EntryProcess::takeDocument(const ConfigurationDocument &document)
+{
+    if (state_.config && document.version <= state_.config->version)
+        return;
+    DecodedConfiguration decoded = state_.dialect.decodeConfiguration(document.document);
+    if (!decoded.config) {
+        logEvent(Event::ConfigurationRefused, {{"version", std::to_string(document.version)},
+                                               {"findings", toText(decoded.findings)}});
+        return;
+    }
+    state_.config = std::make_shared<const ServiceConfiguration>(std::move(*decoded.config));
+    logEvent(Event::ConfigurationApplied, {{"version", std::to_string(document.version)},
+                                           {"routes", std::to_string(state_.config->routes.size())}});
+}
+
+LinkHello EntryProcess::ownHello() const
+{
+    LinkHello hello;
+    hello.kind = NodeKind::Entry;
+    hello.name = state_.settings.name;
+    hello.domain = state_.settings.domain;
+    hello.internalAddress = internalAddress_;
+    hello.publicAddress = state_.settings.callerListen;
+    hello.process = process_;
+    hello.isReady = isReady();
+    hello.requests = state_.requests;
+    return hello;
+}
+
+void EntryProcess::sendHello()
+{
+    for (auto &[address, control] : controls_) {
+        if (control.link)
+            control.link->send(ownHello());
+    }
+}
+
+// ---- Loads of the other entries
+
+void EntryProcess::refreshPeers()
+{
+    peers_.clear();
+    for (const auto &[address, control] : controls_) {
+        if (!control.link)
+            continue;
+        for (const KnownNode &node : control.nodes) {
+            if (node.kind == NodeKind::Entry && node.name != state_.settings.name)
+                peers_[node.name] = node;
+        }
+    }
+    state_.entries = peers_.size() + 1;
+}
+
+void EntryProcess::sendDigests(TimePoint now)
+{
+    const Duration interval =
+            std::max<Duration>(ShortestDigestInterval,
+                               DigestIntervalPerPeer * static_cast<int>(peers_.size()));
+    nextDigest_ = now + interval;
+    const bool isLoaded = !state_.placement.ownLoads.empty();
+    if (!isLoaded && !wasLoaded_)
+        return;
+    wasLoaded_ = isLoaded;
+    LoadDigest digest;
+    digest.entry = state_.settings.name;
+    digest.process = process_;
+    digest.sequence = ++digestSequence_;
+    for (const auto &[endpoint, load] : state_.placement.ownLoads)
+        digest.items.push_back({endpoint, static_cast<float>(load.requests),
+                                static_cast<float>(load.unreadPromptTokens),
+                                static_cast<float>(load.unwrittenTokens)});
+    const std::string bytes = encodeLoadDigest(digest);
+    for (const auto &[name, peer] : peers_) {
+        boost::system::error_code ignored; // a digest may be lost; the next one replaces it
+        digests_.send_to(asio::buffer(bytes), toUdpEndpoint(peer.internalAddress), 0, ignored);
+    }
+}
+
+void EntryProcess::receiveDigests()
+{
+    digests_.async_wait(udp::socket::wait_read, [this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        static std::array<char, MaxDatagram> bytes;
+        while (true) {
+            udp::endpoint sender;
+            boost::system::error_code failure;
+            const std::size_t size =
+                    digests_.receive_from(asio::buffer(bytes), sender, 0, failure);
+            if (failure)
+                break;
+            try {
+                takeDigest(decodeLoadDigest(std::string_view(bytes.data(), size)));
+            } catch (const std::exception &invalid) {
+                logEvent(Event::PeerMessageInvalid,
+                         {{"peer", sender.address().to_string()}, {"error", invalid.what()}});
+            }
+        }
+        receiveDigests();
+    });
+}
+
+void EntryProcess::takeDigest(const LoadDigest &digest)
+{
+    PeerLoads &peer = state_.placement.peers[digest.entry];
+    const bool isOld = digest.process < peer.process
+                       || (digest.process == peer.process && digest.sequence <= peer.sequence);
+    if (isOld)
+        return;
+    peer.process = digest.process;
+    peer.sequence = digest.sequence;
+    peer.heardAt = RuntimeClock::now();
+    peer.loads.clear();
+    for (const LoadDigest::Item &item : digest.items)
+        peer.loads[item.endpoint] = {item.requests, item.unreadPromptTokens, item.unwrittenTokens};
+}
+
+// ---- Readiness, metrics and the planned stop
+
+bool EntryProcess::isReady() const
+{
+    return state_.config && !state_.isDraining;
+}
+
+asio::awaitable<ServerResponse> EntryProcess::handleReadiness(ServerRequest request)
+{
+    ServerResponse response;
+    if (request.head.target == "/metrics") {
+        state_.metrics.setGauge("trefoil_active_requests", "",
+                                static_cast<double>(state_.activeRequests));
+        state_.metrics.setGauge("trefoil_sessions", "",
+                                static_cast<double>(state_.sessionSignals.size()));
+        state_.metrics.setGauge("trefoil_idle_endpoint_connections", "",
+                                static_cast<double>(state_.pool.size()));
+        state_.metrics.setGauge("trefoil_entries", "", static_cast<double>(state_.entries));
+        state_.metrics.setGauge("trefoil_configuration_version", "",
+                                state_.config ? static_cast<double>(state_.config->version) : 0);
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = state_.metrics.prometheusText();
+        co_return response;
+    }
+    const SystemCall call = state_.dialect.parseCall(request.head.method, request.head.target);
+    if (call.kind != CallKind::Readiness) {
+        response.status = 404;
+        response.body = state_.dialect.encodeError("no such call");
+    } else if (!isReady()) {
+        response.status = 503;
+        response.body = state_.dialect.encodeError(
+                state_.isDraining ? "the entry stops" : "no configuration is known yet");
+    }
+    co_return response;
+}
+
+void EntryProcess::checkStopped()
+{
+    if (!stopped_)
+        return;
+    const Duration elapsed = RuntimeClock::now() - state_.drainingSince;
+    const bool isIdle = state_.activeRequests == 0 && elapsed > LeastStopTime;
+    const bool isOverdue = elapsed > state_.settings.stopBound - StopMargin;
+    if (!isIdle && !isOverdue)
+        return;
+    if (!isIdle)
+        logEvent(Event::StopOverdue, {{"lost", std::to_string(state_.activeRequests)}});
+    logEvent(Event::Stopped);
+    flushStructuredLog();
+    std::exchange(stopped_, nullptr)();
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/entryprocess.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "libgateway/endpointpool.h"
+#include "libgateway/gatewaysettings.h"
+#include "libgateway/link.h"
+#include "libruntime/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Trefoil {
+
+// What the sessions of callers share.
+struct EntryState
+{
+    EntryState(boost::asio::io_context &ioContext, GatewaySettings gatewaySettings);
+
+    boost::asio::io_context &context;
+    GatewaySettings settings;
+    const Dialect &dialect;
+    std::shared_ptr<const ServiceConfiguration> config; // null until one is known
+    PlacementState placement;
+    WindowedBudget retryBudget;
+    EndpointPool pool;
+    Metrics metrics;
+    std::set<Signal *> sessionSignals; // notified when a planned stop begins
+    std::size_t entries = 1; // that share the retry budget, this one included
+    std::size_t activeRequests = 0;
+    std::uint64_t requests = 0;
+    bool isDraining = false;
+    TimePoint drainingSince{};
+};
+
+// One entry: relays callers' requests to endpoints.
+class EntryProcess
+{
+public:
+    EntryProcess(boost::asio::io_context &context, GatewaySettings settings);
+    ~EntryProcess();
+
+    void start();
+
+    // Begins a planned stop; `done` is called once no request is in progress or the bound passed.
+    void stop(std::function<void()> done);
+
+    void reload(const GatewaySettings &settings);
+
+private:
+    struct ControlLink
+    {
+        LinkPointer link;
+        bool isConnecting = false;
+        bool isSeed = false;
+        TimePoint retryAt{};
+        TimePoint lastUseful{};
+        std::vector<KnownNode> nodes; // its last topology
+        std::uint64_t offered = 0;
+    };
+
+    void tick();
+    void learnControl(const std::string &address, bool isSeed);
+    void connectControls();
+    boost::asio::awaitable<void> connectControl(std::string address);
+    void linkMessage(const std::string &address, Link &link, LinkMessage &&message);
+    void takeDocument(const ConfigurationDocument &document);
+    void requestConfiguration();
+    LinkHello ownHello() const;
+    void sendHello();
+
+    void receiveDigests();
+    void takeDigest(const LoadDigest &digest);
+    void sendDigests(TimePoint now);
+    void refreshPeers();
+
+    bool isReady() const;
+    boost::asio::awaitable<ServerResponse> handleReadiness(ServerRequest request);
+    void checkStopped();
+
+    boost::asio::io_context &context_;
+    EntryState state_;
+    std::string internalAddress_;
+    std::uint64_t process_;
+    std::unique_ptr<ChannelListener> callerListener_;
+    std::unique_ptr<ChannelListener> readinessListener_;
+    boost::asio::ip::udp::socket digests_;
+    RuntimeTimer tickTimer_;
+    std::map<std::string, ControlLink> controls_;
+    std::map<std::string, KnownNode> peers_; // other entries by name
+    std::uint64_t digestSequence_ = 0;
+    TimePoint nextDigest_{};
+    TimePoint nextHello_{};
+    TimePoint lastTick_{};
+    bool wasLoaded_ = false;
+    std::uint64_t requestedVersion_ = 0;
+    TimePoint requestedAt_{};
+    std::function<void()> stopped_;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/gatewaysettings.cpp
@@ -0,0 +1,105 @@
+#include "libgateway/gatewaysettings.h"
+
+#include "libruntime/settingsreader.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace Trefoil {
+
+namespace {
+
+constexpr Duration Ms = std::chrono::milliseconds(1);
+constexpr Duration Second = std::chrono::seconds(1);
+constexpr Duration Hour = std::chrono::hours(1);
+
+FieldReader dialectName(std::string &into)
+{
+    return [&into](const YAML::Node &node, SettingsReader &reader) {
+        const std::string name = node.IsScalar() ? node.Scalar() : std::string();
+        if (findDialect(name))
+            into = name;
+        else
+            reader.add(node.Mark(), "unknown dialect '" + name + "'");
+    };
+}
+
+std::vector<SettingsField> nodeFields(GatewaySettings &settings)
+{
+    return {
+            {"name", text(settings.name), true},
+            {"region", text(settings.region), true},
+            {"domain", text(settings.domain), true},
+            {"address", text(settings.address), true},
+            {"internal_port", count(settings.internalPort, 1, 65'535), true},
+            {"seeds", listOf(settings.seeds, address), true},
+            {"first_start", flag(settings.isFirstStart)},
+            {"dialect", dialectName(settings.dialect), true},
+    };
+}
+
+std::vector<SettingsField> listenFields(GatewaySettings &settings)
+{
+    return {
+            {"callers", address(settings.callerListen)},
+            {"readiness", address(settings.readinessListen)},
+            {"control", address(settings.controlListen)},
+            {"entry_list", address(settings.entryListListen)},
+    };
+}
+
+std::vector<SettingsField> limitFields(GatewaySettings &settings)
+{
+    return {
+            {"connections", count(settings.maxConnections, 64, 10'000'000)},
+            {"tolerated_losses", count(settings.toleratedLosses, 0, 3)},
+            {"heartbeat", duration(settings.heartbeat, 20 * Ms, 60 * Second)},
+            {"stop_bound", duration(settings.stopBound, 100 * Ms, Hour)},
+            {"stall_timeout", duration(settings.stallTimeout, 100 * Ms, Hour)},
+            {"entry_list_lifetime", duration(settings.entryListLifetime, Second, Hour)},
+            {"retry_ratio", number(settings.retryBudget.ratio, 0, 10)},
+            {"retry_window", duration(settings.retryBudget.window, Second, Hour)},
+            {"retry_allowance", number(settings.retryBudget.allowance, 0, 1e6)},
+    };
+}
+
+std::vector<SettingsField> rootFields(GatewaySettings &settings)
+{
+    return {
+            {"node", section("'node'", nodeFields(settings)), true},
+            {"listen", section("'listen'", listenFields(settings)), true},
+            {"data", text(settings.dataFolder)},
+            {"limits", section("'limits'", limitFields(settings))},
+    };
+}
+
+} // namespace
+
+LoadedGatewaySettings readGatewaySettings(const std::string &text, const std::string &file)
+{
+    LoadedGatewaySettings loaded;
+    SettingsReader reader(file, loaded.findings);
+    try {
+        const YAML::Node root = YAML::Load(text);
+        const std::vector<SettingsField> fields = rootFields(loaded.settings);
+        readMapping(root, fields, "the settings", reader);
+    } catch (const YAML::Exception &error) {
+        reader.add(error.mark, error.msg);
+    }
+    return loaded;
+}
+
+LoadedGatewaySettings loadGatewaySettings(const std::string &path)
+{
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (!in) {
+        LoadedGatewaySettings loaded;
+        loaded.findings.push_back({path, 0, 0, "cannot read the file"});
+        return loaded;
+    }
+    return readGatewaySettings(text.str(), path);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/gatewaysettings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "libfleet/fleet.h"
+#include "libruntime/findings.h"
+
+#include <string>
+#include <vector>
+
+namespace Trefoil {
+
+// Settings of an entry or a control VM that runs all its duties on one thread.
+struct GatewaySettings
+{
+    std::string name;
+    std::string region;
+    std::string domain;
+    std::string address; // IP number
+    std::uint16_t internalPort = 0;
+    std::vector<std::string> seeds; // control addresses, IP:port
+    bool isFirstStart = false;
+    std::string dialect;
+
+    std::string callerListen;
+    std::string readinessListen;
+    std::string controlListen;
+    std::string entryListListen;
+    std::string dataFolder;
+
+    std::uint32_t toleratedLosses = 1; // control VMs that may be lost at once
+    std::size_t maxConnections = 4096;
+    Duration heartbeat = std::chrono::seconds(1); // of endpoints
+    Duration stopBound = std::chrono::seconds(8);
+    Duration stallTimeout = std::chrono::seconds(6); // a group without a VM is broken after this
+    Duration entryListLifetime = std::chrono::seconds(2);
+    WindowedBudgetOptions retryBudget;
+};
+
+struct LoadedGatewaySettings
+{
+    GatewaySettings settings;
+    std::vector<Finding> findings; // settings are usable only when empty
+};
+
+LoadedGatewaySettings loadGatewaySettings(const std::string &path);
+LoadedGatewaySettings readGatewaySettings(const std::string &text, const std::string &file);
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/link.cpp
@@ -0,0 +1,150 @@
+#include "libgateway/link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t MaxMessageBytes = 32 * 1024 * 1024;
+constexpr std::size_t MaxOutgoingBytes = 48 * 1024 * 1024; // a peer that does not read is dropped
+
+std::string frame(const std::string &payload)
+{
+    std::string bytes;
+    bytes.reserve(LengthBytes + payload.size());
+    for (std::size_t i = 0; i < LengthBytes; ++i)
+        bytes += static_cast<char>((payload.size() >> (8 * i)) & 0xff);
+    return bytes + payload;
+}
+
+std::size_t frameLength(const std::string &bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < LengthBytes; ++i)
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+    return length;
+}
+
+} // namespace
+
+Link::Link(ChannelPointer channel, Duration timeout, MessageHandler onMessage, EndHandler onEnd)
+    : channel_(std::move(channel))
+    , timeout_(timeout)
+    , onMessage_(std::move(onMessage))
+    , onEnd_(std::move(onEnd))
+    , readSignal_(channel_->executor())
+    , writeSignal_(channel_->executor())
+{
+    lastHeard = RuntimeClock::now();
+}
+
+void Link::start()
+{
+    channel_->setListener(&readSignal_);
+    const auto self = shared_from_this();
+    asio::co_spawn(channel_->executor(), [self] { return self->read(); }, asio::detached);
+    asio::co_spawn(channel_->executor(), [self] { return self->write(); }, asio::detached);
+}
+
+void Link::send(const LinkMessage &message)
+{
+    if (isEnded_)
+        return;
+    outgoing_ += frame(encodeLinkMessage(message));
+    if (outgoing_.size() > MaxOutgoingBytes) {
+        end("the peer does not read");
+        return;
+    }
+    writeSignal_.notify();
+}
+
+void Link::close()
+{
+    end("closed here");
+}
+
+// Handles the whole messages of the input. False when the link must end.
+bool Link::deliver(std::string &reason)
+{
+    std::string &input = channel_->input();
+    while (input.size() >= LengthBytes) {
+        const std::size_t length = frameLength(input);
+        if (length > MaxMessageBytes) {
+            reason = "a message is too long";
+            return false;
+        }
+        if (input.size() < LengthBytes + length)
+            break;
+        LinkMessage message;
+        try {
+            message = decodeLinkMessage(std::string_view(input).substr(LengthBytes, length));
+        } catch (const std::exception &error) {
+            reason = std::string("a message cannot be read: ") + error.what();
+            return false;
+        }
+        input.erase(0, LengthBytes + length);
+        lastHeard = RuntimeClock::now();
+        onMessage_(*this, std::move(message));
+        if (isEnded_)
+            return false;
+    }
+    channel_->resume();
+    return true;
+}
+
+asio::awaitable<void> Link::read()
+{
+    const auto self = shared_from_this();
+    std::string reason;
+    while (!isEnded_) {
+        if (!deliver(reason))
+            break;
+        if (channel_->isEnded()) {
+            reason = "the connection ended";
+            break;
+        }
+        const TimePoint until = lastHeard + timeout_;
+        if (RuntimeClock::now() >= until) {
+            reason = "the peer is silent";
+            break;
+        }
+        co_await readSignal_.wait(until);
+    }
+    end(reason);
+}
+
+asio::awaitable<void> Link::write()
+{
+    const auto self = shared_from_this();
+    while (!isEnded_) {
+        if (outgoing_.empty()) {
+            co_await writeSignal_.wait();
+            continue;
+        }
+        const std::string bytes = std::exchange(outgoing_, {});
+        const bool isWritten = co_await channel_->write(bytes, RuntimeClock::now() + timeout_);
+        if (!isWritten) {
+            end("a write failed");
+            break;
+        }
+    }
+}
+
+void Link::end(const std::string &reason)
+{
+    if (isEnded_)
+        return;
+    isEnded_ = true;
+    channel_->setListener(nullptr);
+    channel_->close();
+    readSignal_.notify();
+    writeSignal_.notify();
+    onEnd_(*this, reason);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/link.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libgateway/channel.h"
+#include "libgateway/linkmessages.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Trefoil {
+
+// A connection that carries link messages in both directions, each behind its length. It ends when
+// the peer is silent for longer than the link timeout or does not read.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+    using MessageHandler = std::function<void(Link &, LinkMessage &&)>;
+    using EndHandler = std::function<void(Link &, const std::string &reason)>;
+
+    Link(ChannelPointer channel, Duration timeout, MessageHandler onMessage, EndHandler onEnd);
+
+    // Reads and writes until the link ends, then calls the end handler once.
+    void start();
+
+    void send(const LinkMessage &message);
+    void close();
+
+    const std::string &remoteAddress() const { return channel_->remoteAddress(); }
+
+    LinkHello hello; // of the peer, kept by the user of the link
+    bool hasHello = false;
+    TimePoint lastHeard{};
+
+private:
+    boost::asio::awaitable<void> read();
+    boost::asio::awaitable<void> write();
+    bool deliver(std::string &reason);
+    void end(const std::string &reason);
+
+    ChannelPointer channel_;
+    Duration timeout_;
+    MessageHandler onMessage_;
+    EndHandler onEnd_;
+    Signal readSignal_;
+    Signal writeSignal_;
+    std::string outgoing_;
+    bool isEnded_ = false;
+};
+
+using LinkPointer = std::shared_ptr<Link>;
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/linkmessages.cpp
@@ -0,0 +1,126 @@
+#include "libgateway/linkmessages.h"
+
+#include "libcoord/codec.h"
+
+namespace Trefoil {
+
+template <class Archive>
+void serialize(Archive &archive, GroupMembership &m)
+{
+    archive(m.group, m.epoch, m.rank, m.phase);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointReport &r)
+{
+    archive(r.id, r.service, r.address, r.domain, r.fabric, r.slots, r.isDraining, r.startedAtMs,
+            r.sequence, r.stagedModels, r.membership);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LinkHello &h)
+{
+    archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.process, h.seat,
+            h.isReady, h.requests);
+}
+
+template <class Archive>
+void serialize(Archive &archive, RaftEnvelope &e)
+{
+    archive(e.messages);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointNews::Item &i)
+{
+    archive(i.report, i.ageMs, i.hasLeft);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointNews::Sign &s)
+{
+    archive(s.endpoint, s.startedAtMs, s.ageMs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, EndpointNews &n)
+{
+    archive(n.items, n.signs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, KnownNode &n)
+{
+    archive(n.kind, n.name, n.domain, n.internalAddress, n.publicAddress, n.process, n.isReady);
+}
+
+template <class Archive>
+void serialize(Archive &archive, Topology &t)
+{
+    archive(t.nodes);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ConfigurationOffer &o)
+{
+    archive(o.version);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ConfigurationRequest &r)
+{
+    archive(r.version);
+}
+
+template <class Archive>
+void serialize(Archive &archive, ConfigurationDocument &d)
+{
+    archive(d.version, d.document);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LoadDigest::Item &i)
+{
+    archive(i.endpoint, i.requests, i.unreadPromptTokens, i.unwrittenTokens);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LoadDigest &d)
+{
+    archive(d.entry, d.process, d.sequence, d.items);
+}
+
+void applyNews(EndpointTable &table, const EndpointNews &news, TimePoint now)
+{
+    for (const EndpointNews::Item &item : news.items) {
+        const Duration age = std::chrono::milliseconds(item.ageMs);
+        takeReport(table, item.report, age, now);
+        if (item.hasLeft)
+            takeDeparture(table, item.report.id, item.report.startedAtMs, now);
+    }
+    for (const EndpointNews::Sign &sign : news.signs)
+        takeSign(table, sign.endpoint, sign.startedAtMs, std::chrono::milliseconds(sign.ageMs),
+                 now);
+}
+
+std::string encodeLinkMessage(const LinkMessage &message)
+{
+    return encode(message);
+}
+
+std::string encodeLoadDigest(const LoadDigest &digest)
+{
+    return encode(digest);
+}
+
+LinkMessage decodeLinkMessage(std::string_view bytes)
+{
+    return decode<LinkMessage>(bytes);
+}
+
+LoadDigest decodeLoadDigest(std::string_view bytes)
+{
+    return decode<LoadDigest>(bytes);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/rungateway.cpp
@@ -0,0 +1,130 @@
+#include "libgateway/gateway.h"
+
+#include "libgateway/controlprocess.h"
+#include "libgateway/entryprocess.h"
+#include "libruntime/events.h"
+#include "libruntime/structuredlog.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace Trefoil {
+
+namespace {
+
+enum ExitCode { ExitOk = 0, ExitUsage = 1, ExitSettings = 2, ExitFailure = 3 };
+
+// Settings that a role needs beyond those of every process.
+void checkRole(const std::string &role, const std::string &path, LoadedGatewaySettings &loaded)
+{
+    const GatewaySettings &settings = loaded.settings;
+    const auto require = [&](const std::string &value, const std::string &key) {
+        if (value.empty())
+            loaded.findings.push_back(
+                    {path, 0, 0, "role '" + role + "' needs the key '" + key + "'"});
+    };
+    if (role == "entry") {
+        require(settings.callerListen, "listen.callers");
+    } else {
+        require(settings.controlListen, "listen.control");
+        require(settings.dataFolder, "data");
+    }
+}
+
+// SIGTERM begins a planned stop, SIGHUP reads the settings again.
+template <class Process>
+class SignalLoop
+{
+public:
+    SignalLoop(boost::asio::io_context &context, Process &process, std::string role,
+               std::string path)
+        : context_(context)
+        , process_(process)
+        , role_(std::move(role))
+        , path_(std::move(path))
+        , signals_(context, SIGTERM, SIGINT, SIGHUP)
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        signals_.async_wait([this](const boost::system::error_code &error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                process_.stop([this] { context_.stop(); });
+            wait();
+        });
+    }
+
+    void reload()
+    {
+        LoadedGatewaySettings loaded = loadGatewaySettings(path_);
+        checkRole(role_, path_, loaded);
+        if (!loaded.findings.empty()) {
+            logEvent(Event::SettingsInvalid, {{"findings", toText(loaded.findings)}});
+            return;
+        }
+        process_.reload(loaded.settings);
+        logEvent(Event::SettingsReloaded, {{"seeds", std::to_string(loaded.settings.seeds.size())}});
+    }
+
+    boost::asio::io_context &context_;
+    Process &process_;
+    std::string role_;
+    std::string path_;
+    boost::asio::signal_set signals_;
+};
+
+template <class Process>
+int runProcess(const std::string &role, const std::string &path, const GatewaySettings &settings)
+{
+    boost::asio::io_context context(1);
+    Process process(context, settings);
+    const SignalLoop<Process> signals(context, process, role, path);
+    try {
+        process.start();
+        context.run();
+    } catch (const std::exception &error) {
+        logEvent(Event::DutyFailed, {{"error", error.what()}});
+        flushStructuredLog();
+        std::_Exit(ExitFailure);
+    }
+    flushStructuredLog();
+    std::_Exit(ExitOk); // connections that are still open end with the process
+}
+
+} // namespace
+
+int runGateway(const std::string &role, const std::string &settingsPath, bool checkOnly)
+{
+    if (role != "entry" && role != "control") {
+        std::cerr << "trefoilrund: unknown role '" << role << "'; known: entry, control\n";
+        return ExitUsage;
+    }
+    LoadedGatewaySettings loaded = loadGatewaySettings(settingsPath);
+    if (loaded.findings.empty())
+        checkRole(role, settingsPath, loaded);
+    if (!loaded.findings.empty()) {
+        std::cerr << toText(loaded.findings);
+        return ExitSettings;
+    }
+    if (checkOnly) {
+        std::cout << settingsPath << ": ok\n";
+        return ExitOk;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    startStructuredLog(loaded.settings.name);
+    if (role == "entry")
+        return runProcess<EntryProcess>(role, settingsPath, loaded.settings);
+    return runProcess<ControlProcess>(role, settingsPath, loaded.settings);
+}
+
+} // namespace Trefoil
--- a/src/libnode/controlseat.cpp
+++ b/src/libnode/controlseat.cpp
@@ -1,5 +1,7 @@
 #include "libnode/controlseat.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace Trefoil {
@@ -182,6 +184,20 @@
     return isLeaderReady(seat.raft) && hasLeaderLease(seat.raft, now);
 }
 
+SeatId initialSeatId(const EntryId &entry)
+{
+    const std::string name = "initial seat of " + entry;
+    return XXH3_64bits(name.data(), name.size());
+}
+
+SeatSet initialSeats(std::span<const EntryId> entries)
+{
+    SeatSet seats;
+    for (const EntryId &entry : entries)
+        seats.push_back({initialSeatId(entry), entry, true});
+    return seats;
+}
+
 ConfigVersion newestVersionInLog(const ControlSeatState &seat)
 {
     for (LogIndex index = lastLogIndex(seat.raft); index > seat.appliedIndex; --index) {
--- a/src/libnode/controlseat.h
+++ b/src/libnode/controlseat.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 // A seat of the replicated log together with the control state that it applies. Pure: disk writes
@@ -79,6 +80,10 @@
 // True while this seat leads, has committed in its term and holds the lease.
 bool isActingLeader(const ControlSeatState &seat, TimePoint now);
 
+// Seats of a system that starts for the first time. Every entry derives the same ones.
+SeatId initialSeatId(const EntryId &entry);
+SeatSet initialSeats(std::span<const EntryId> entries);
+
 // Newest configuration version in the seat's log, committed or not.
 ConfigVersion newestVersionInLog(const ControlSeatState &seat);
 
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -1,5 +1,7 @@
 #include "libruntime/events.h"
 
+#include "libruntime/structuredlog.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -38,6 +40,21 @@
         {Event::VmSilent, Warning, "a VM stopped its heartbeats"},
         {Event::RequestLost, Warning, "the fate of a request is unknown"},
         {Event::RingFull, Warning, "a ring between duties is full"},
+        {Event::RequestEnded, Info, "a request ended"},
+        {Event::AttemptFailed, Warning, "an attempt at an endpoint failed"},
+        {Event::EndpointEjected, Warning, "an endpoint gets no requests for a while"},
+        {Event::EndpointChanged, Info, "an endpoint changed"},
+        {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
+        {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
+        {Event::OrderAnswered, Info, "an engine answered an order"},
+        {Event::ConfigurationPublished, Info, "a configuration was accepted"},
+        {Event::ConfigurationRefused, Warning, "a configuration was refused"},
+        {Event::ConfigurationApplied, Info, "a configuration is in force here"},
+        {Event::LinkConnected, Info, "a link to a control VM is up"},
+        {Event::LinkLost, Warning, "a link to a control VM ended"},
+        {Event::SeatsChanged, Info, "the leader changes the seats"},
+        {Event::DiskFailed, Error, "a disk write failed; the seat recovers from its disk"},
+        {Event::SettingsReloaded, Info, "the settings were read again"},
 };
 
 const EventSpec &specOf(Event event)
@@ -77,6 +94,10 @@
 void logEvent(Event event, EventFields fields)
 {
     const EventSpec &spec = specOf(event);
+    if (isStructuredLogStarted()) {
+        writeStructuredLog(spec, fields);
+        return;
+    }
     const std::string line = lineOf(spec, fields);
     switch (spec.severity) {
     case Info:
@@ -94,6 +115,7 @@
 void logFatal(Event event, EventFields fields)
 {
     logEvent(event, fields);
+    flushStructuredLog();
     google::FlushLogFiles(google::GLOG_INFO);
     std::_Exit(EXIT_FAILURE);
 }
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -36,6 +36,21 @@
     VmSilent = 402,
     RequestLost = 500,
     RingFull = 501,
+    RequestEnded = 502,
+    AttemptFailed = 503,
+    EndpointEjected = 504,
+    EndpointChanged = 600,
+    EndpointReportInvalid = 601,
+    GroupOrdered = 602,
+    OrderAnswered = 603,
+    ConfigurationPublished = 610,
+    ConfigurationRefused = 611,
+    ConfigurationApplied = 612,
+    LinkConnected = 620,
+    LinkLost = 621,
+    SeatsChanged = 622,
+    DiskFailed = 623,
+    SettingsReloaded = 624,
 };
 
 enum class Severity { Info, Warning, Error };
--- a/src/libruntime/metrics.cpp
+++ b/src/libruntime/metrics.cpp
@@ -48,7 +48,7 @@
     }
 };
 
-using SeriesKey = std::pair<WorkspaceId, RequestClass>;
+using SeriesKey = std::pair<WorkspaceId, std::string>;
 
 std::string escapeLabel(const std::string &value)
 {
@@ -75,7 +75,7 @@
                  const Series &series)
 {
     const std::string labels = "workspace=\"" + escapeLabel(key.first) + "\",class=\""
-                               + RequestClassNames[static_cast<std::size_t>(key.second)] + "\"";
+                               + escapeLabel(key.second) + "\"";
     std::uint64_t total = 0;
     const DurationHistogram buckets = series.buckets();
     for (std::size_t i = 0; i < buckets.counts.size(); ++i) {
@@ -120,12 +120,24 @@
 void Metrics::addFirstByte(const WorkspaceId &workspace, RequestClass requestClass,
                            Duration duration)
 {
-    store_->firstByte[{workspace, requestClass}].add(duration);
+    addFirstByte(workspace, RequestClassNames[static_cast<std::size_t>(requestClass)], duration);
+}
+
+void Metrics::addFirstByte(const WorkspaceId &workspace, const std::string &className,
+                           Duration duration)
+{
+    store_->firstByte[{workspace, className}].add(duration);
 }
 
 void Metrics::addTotal(const WorkspaceId &workspace, RequestClass requestClass, Duration duration)
 {
-    store_->total[{workspace, requestClass}].add(duration);
+    addTotal(workspace, RequestClassNames[static_cast<std::size_t>(requestClass)], duration);
+}
+
+void Metrics::addTotal(const WorkspaceId &workspace, const std::string &className,
+                       Duration duration)
+{
+    store_->total[{workspace, className}].add(duration);
 }
 
 void Metrics::addCount(const std::string &name, const std::string &labels, double by)
--- a/src/libruntime/metrics.h
+++ b/src/libruntime/metrics.h
@@ -19,6 +19,11 @@
     void addFirstByte(const WorkspaceId &workspace, RequestClass requestClass, Duration duration);
     void addTotal(const WorkspaceId &workspace, RequestClass requestClass, Duration duration);
 
+    // The same for classes that operators name, such as routes.
+    void addFirstByte(const WorkspaceId &workspace, const std::string &className,
+                      Duration duration);
+    void addTotal(const WorkspaceId &workspace, const std::string &className, Duration duration);
+
     void addCount(const std::string &name, const std::string &labels, double by = 1);
     void setGauge(const std::string &name, const std::string &labels, double value);
 
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -1,182 +1,18 @@
 #include "libruntime/settings.h"
 
-#include "libruntime/address.h"
+#include "libruntime/settingsreader.h"
 
-#include <yaml-cpp/yaml.h>
-
-#include <charconv>
 #include <fstream>
-#include <functional>
-#include <map>
 #include <sstream>
 
 namespace Trefoil {
 
 namespace {
 
-// Reads one file and collects findings.
-class Reader
-{
-public:
-    Reader(std::string file, std::vector<Finding> &findings)
-        : file_(std::move(file))
-        , findings_(findings)
-    {}
-
-    void add(const YAML::Mark &mark, const std::string &message)
-    {
-        const bool known = !mark.is_null();
-        findings_.push_back({file_, known ? static_cast<std::size_t>(mark.line) + 1 : 0,
-                             known ? static_cast<std::size_t>(mark.column) + 1 : 0, message});
-    }
-
-private:
-    std::string file_;
-    std::vector<Finding> &findings_;
-};
-
-using FieldReader = std::function<void(const YAML::Node &, Reader &)>;
-
-struct Field
-{
-    std::string_view key;
-    FieldReader read;
-    bool isRequired = false;
-};
-
-// Reads a mapping. Unknown, repeated and missing keys are findings.
-void readMapping(const YAML::Node &node, std::span<const Field> fields, const std::string &where,
-                 Reader &reader)
-{
-    if (!node.IsMap()) {
-        reader.add(node.Mark(), where + " must be a mapping");
-        return;
-    }
-    std::vector<std::string_view> known;
-    for (const Field &field : fields)
-        known.push_back(field.key);
-    std::set<std::string> seen;
-    for (const auto &item : node) {
-        const auto key = item.first.as<std::string>("");
-        if (!seen.insert(key).second) {
-            reader.add(item.first.Mark(), "key '" + key + "' stands twice in " + where);
-            continue;
-        }
-        const auto field = std::find_if(fields.begin(), fields.end(),
-                                        [&key](const Field &f) { return f.key == key; });
-        if (field != fields.end()) {
-            field->read(item.second, reader);
-            continue;
-        }
-        const std::string nearest = nearestName(key, known);
-        reader.add(item.first.Mark(),
-                   "unknown key '" + key + "' in " + where
-                           + (nearest.empty() ? "" : "; did you mean '" + nearest + "'?"));
-    }
-    for (const Field &field : fields) {
-        if (field.isRequired && !seen.contains(std::string(field.key)))
-            reader.add(node.Mark(), "missing key '" + std::string(field.key) + "' in " + where);
-    }
-}
-
-FieldReader text(std::string &into)
-{
-    return [&into](const YAML::Node &node, Reader &reader) {
-        if (!node.IsScalar() || node.Scalar().empty())
-            reader.add(node.Mark(), "expected a text");
-        else
-            into = node.Scalar();
-    };
-}
-
-FieldReader address(std::string &into)
-{
-    return [&into](const YAML::Node &node, Reader &reader) {
-        if (!node.IsScalar() || !parseAddress(node.Scalar()))
-            reader.add(node.Mark(), "expected an IP number and a port, like 10.0.0.1:7100");
-        else
-            into = node.Scalar();
-    };
-}
-
-FieldReader listOf(std::vector<std::string> &into,
-                   const std::function<FieldReader(std::string &)> &element)
-{
-    return [&into, element](const YAML::Node &node, Reader &reader) {
-        if (!node.IsSequence()) {
-            reader.add(node.Mark(), "expected a list");
-            return;
-        }
-        for (const YAML::Node &item : node) {
-            std::string value;
-            element(value)(item, reader);
-            into.push_back(value);
-        }
-    };
-}
-
-std::optional<Duration> parseDuration(const std::string &value)
-{
-    static const std::map<std::string, Duration> units = {
-            {"ms", std::chrono::milliseconds(1)},
-            {"s", std::chrono::seconds(1)},
-            {"m", std::chrono::minutes(1)},
-            {"h", std::chrono::hours(1)},
-    };
-    std::uint32_t count = 0;
-    const char *end = value.data() + value.size();
-    const auto parsed = std::from_chars(value.data(), end, count);
-    const auto unit = units.find(std::string(parsed.ptr, end));
-    if (parsed.ec != std::errc() || unit == units.end())
-        return std::nullopt;
-    return count * unit->second;
-}
-
-FieldReader duration(Duration &into, Duration lowest, Duration highest)
-{
-    return [&into, lowest, highest](const YAML::Node &node, Reader &reader) {
-        const auto value = node.IsScalar() ? parseDuration(node.Scalar()) : std::nullopt;
-        if (!value)
-            reader.add(node.Mark(), "expected a duration, like 300ms, 3s or 2m");
-        else if (*value < lowest || *value > highest)
-            reader.add(node.Mark(), "duration out of range");
-        else
-            into = *value;
-    };
-}
-
-template <class T>
-FieldReader count(T &into, std::uint64_t lowest, std::uint64_t highest)
-{
-    return [&into, lowest, highest](const YAML::Node &node, Reader &reader) {
-        std::uint64_t value = 0;
-        const std::string scalar = node.IsScalar() ? node.Scalar() : std::string();
-        const char *end = scalar.data() + scalar.size();
-        const auto parsed = std::from_chars(scalar.data(), end, value);
-        if (parsed.ec != std::errc() || parsed.ptr != end)
-            reader.add(node.Mark(), "expected a whole number");
-        else if (value < lowest || value > highest)
-            reader.add(node.Mark(), "number out of range: " + std::to_string(lowest) + " to "
-                                            + std::to_string(highest));
-        else
-            into = static_cast<T>(value);
-    };
-}
-
-FieldReader flag(bool &into)
-{
-    return [&into](const YAML::Node &node, Reader &reader) {
-        if (node.IsScalar() && (node.Scalar() == "true" || node.Scalar() == "false"))
-            into = node.Scalar() == "true";
-        else
-            reader.add(node.Mark(), "expected true or false");
-    };
-}
-
 FieldReader policyName(std::string &into, bool (*isKnown)(const std::string &),
                        std::string (*names)())
 {
-    return [&into, isKnown, names](const YAML::Node &node, Reader &reader) {
+    return [&into, isKnown, names](const YAML::Node &node, SettingsReader &reader) {
         const std::string name = node.IsScalar() ? node.Scalar() : std::string();
         if (isKnown(name))
             into = name;
@@ -202,14 +38,7 @@
 constexpr Duration Second = std::chrono::seconds(1);
 constexpr Duration Hour = std::chrono::hours(1);
 
-FieldReader section(const std::string &name, std::vector<Field> fields)
-{
-    return [name, fields = std::move(fields)](const YAML::Node &node, Reader &reader) {
-        readMapping(node, fields, name, reader);
-    };
-}
-
-std::vector<Field> membershipFields(NodeSettings &node)
+std::vector<SettingsField> membershipFields(NodeSettings &node)
 {
     MembershipOptions &m = node.membership;
     return {
@@ -221,7 +50,7 @@
     };
 }
 
-std::vector<Field> groupFields(NodeSettings &node)
+std::vector<SettingsField> groupFields(NodeSettings &node)
 {
     PlannerOptions &p = node.planner;
     return {
@@ -236,7 +65,7 @@
     };
 }
 
-std::vector<Field> requestFields(Settings &settings)
+std::vector<SettingsField> requestFields(Settings &settings)
 {
     OriginOptions &o = settings.node.origin;
     DispatchOptions &d = settings.node.dispatch;
@@ -262,7 +91,7 @@
     };
 }
 
-std::vector<Field> controlFields(Settings &settings)
+std::vector<SettingsField> controlFields(Settings &settings)
 {
     RaftOptions &r = settings.seat.raft;
     return {
@@ -274,7 +103,7 @@
     };
 }
 
-std::vector<Field> listenFields(Settings &settings)
+std::vector<SettingsField> listenFields(Settings &settings)
 {
     return {
             {"callers", address(settings.callerListen), true},
@@ -283,7 +112,7 @@
     };
 }
 
-std::vector<Field> advertiseFields(NodeSettings &node)
+std::vector<SettingsField> advertiseFields(NodeSettings &node)
 {
     return {
             {"callers", address(node.self.callerAddress)},
@@ -291,7 +120,7 @@
     };
 }
 
-std::vector<Field> rootFields(Settings &settings)
+std::vector<SettingsField> rootFields(Settings &settings)
 {
     return {
             {"entry", text(settings.node.self.entry), true},
@@ -309,7 +138,7 @@
 }
 
 // Faults that only show between fields.
-void checkTogether(Settings &settings, const YAML::Node &root, Reader &reader)
+void checkTogether(Settings &settings, const YAML::Node &root, SettingsReader &reader)
 {
     NodeSettings &node = settings.node;
     if (node.self.callerAddress.empty())
@@ -333,10 +162,10 @@
 LoadedSettings readSettings(const std::string &text, const std::string &file)
 {
     LoadedSettings loaded;
-    Reader reader(file, loaded.findings);
+    SettingsReader reader(file, loaded.findings);
     try {
         const YAML::Node root = YAML::Load(text);
-        const std::vector<Field> fields = rootFields(loaded.settings);
+        const std::vector<SettingsField> fields = rootFields(loaded.settings);
         readMapping(root, fields, "the settings", reader);
         if (root.IsMap())
             checkTogether(loaded.settings, root, reader);
--- a/src/trefoilrund/signal.cpp
+++ b/src/libruntime/signal.cpp
@@ -1,4 +1,4 @@
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/libserving/commands.h
+++ b/src/libserving/commands.h
@@ -89,6 +89,14 @@
     bool draining = true;
 };
 
+// Publishes a whole description of routes, services and workspaces. The document is opaque to the
+// log. A version that is not higher than the published one changes nothing and is accepted.
+struct PublishServices
+{
+    std::uint64_t version = 0;
+    std::string document;
+};
+
 enum class KeyOutcome : std::uint8_t {
     Running,
     Done,
@@ -143,7 +151,7 @@
 using Command =
         std::variant<SetWorkspace, RemoveWorkspace, SetDeployment, RemoveDeployment, AnnounceVm,
                      SetVmStatus, ForgetVm, FormGroup, DrainGroup, EndGroup, SetDispatcher,
-                     SetEntryDraining, ClaimKey, FinishKey, ReleaseKey, AbandonKeys>;
+                     SetEntryDraining, PublishServices, ClaimKey, FinishKey, ReleaseKey, AbandonKeys>;
 
 // True for commands that change the configuration that entries hold; false for key commands.
 bool changesConfiguration(const Command &command);
--- a/src/libserving/configuration.cpp
+++ b/src/libserving/configuration.cpp
@@ -172,6 +172,13 @@
         return accept();
     }
 
+    CommandReply operator()(const PublishServices &c) const
+    {
+        if (c.version > config.services.version)
+            config.services = {c.version, c.document};
+        return accept();
+    }
+
     // Key commands do not reach the configuration.
     CommandReply operator()(const ClaimKey &) const { return accept(); }
     CommandReply operator()(const FinishKey &) const { return accept(); }
--- a/src/libserving/model.h
+++ b/src/libserving/model.h
@@ -88,6 +88,15 @@
     bool operator==(const ServingGroup &) const = default;
 };
 
+// Routes, services and workspaces as an operator published them. Version 0 stands for none.
+struct PublishedServices
+{
+    std::uint64_t version = 0;
+    std::string document;
+
+    bool operator==(const PublishedServices &) const = default;
+};
+
 struct Configuration
 {
     ConfigVersion version = 0;
@@ -97,6 +106,7 @@
     std::map<VmId, Vm> vms;
     std::map<GroupId, ServingGroup> groups;
     std::set<EntryId> drainingEntries;
+    PublishedServices services;
 
     bool operator==(const Configuration &) const = default;
 };
--- a/src/libserving/peercodec.cpp
+++ b/src/libserving/peercodec.cpp
@@ -65,10 +65,23 @@
     a(g.id, g.deployment, g.version, g.vms, g.dispatcher, g.dispatcherSince, g.status);
 }
 
+template <class A>
+void serialize(A &a, PublishedServices &s)
+{
+    a(s.version, s.document);
+}
+
+template <class A>
+void serialize(A &a, PublishServices &c)
+{
+    a(c.version, c.document);
+}
+
 template <class A>
 void serialize(A &a, Configuration &c)
 {
-    a(c.version, c.seats, c.workspaces, c.deployments, c.vms, c.groups, c.drainingEntries);
+    a(c.version, c.seats, c.workspaces, c.deployments, c.vms, c.groups, c.drainingEntries,
+      c.services);
 }
 
 template <class A>
--- a/src/trefoilrund/callersession.h
+++ b/src/trefoilrund/callersession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "trefoilrund/messages.h"
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <deque>
 #include <optional>
--- a/src/trefoilrund/daemon.cpp
+++ b/src/trefoilrund/daemon.cpp
@@ -6,8 +6,6 @@
 #include "trefoilrund/operatorduty.h"
 #include "trefoilrund/peerduty.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <random>
 
@@ -15,20 +13,6 @@
 
 namespace {
 
-SeatId initialSeatId(const EntryId &entry)
-{
-    const std::string name = "initial seat of " + entry;
-    return XXH3_64bits(name.data(), name.size());
-}
-
-SeatSet initialSeats(const Settings &settings)
-{
-    SeatSet seats;
-    for (const EntryId &entry : settings.initialSeats)
-        seats.push_back({initialSeatId(entry), entry, true});
-    return seats;
-}
-
 std::uint64_t randomNumber()
 {
     std::random_device device;
@@ -76,7 +60,7 @@
     if (std::find(entries.begin(), entries.end(), self) == entries.end())
         throw DiskError("entry '" + self + "' is not among control.seats");
     LogStore store(openPosixFolder(settings.dataFolder));
-    store.createIdentity(initialSeatId(self), initialSeats(settings));
+    store.createIdentity(initialSeatId(self), initialSeats(settings.initialSeats));
 }
 
 class Daemon::Impl
--- a/src/trefoilrund/decisionduty.cpp
+++ b/src/trefoilrund/decisionduty.cpp
@@ -1,6 +1,6 @@
 #include "trefoilrund/decisionduty.h"
 
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/trefoilrund/main.cpp
+++ b/src/trefoilrund/main.cpp
@@ -1,3 +1,4 @@
+#include "libgateway/gateway.h"
 #include "trefoilrund/daemon.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,7 @@
     std::string settings;
     bool check = false;
     bool initSeat = false;
+    std::string gateway; // role of a process that runs all its duties on one thread
 };
 
 // Runs until a signal asks for a planned stop and the stop is done or overdue.
@@ -64,6 +66,8 @@
 
 int run(const Options &options)
 {
+    if (!options.gateway.empty())
+        return runGateway(options.gateway, options.settings, options.check);
     const LoadedSettings loaded = loadSettings(options.settings);
     if (!loaded.findings.empty()) {
         std::cerr << toText(loaded.findings);
@@ -96,6 +100,8 @@
     add("check", po::bool_switch(&options.check), "check the settings and exit");
     add("init-seat", po::bool_switch(&options.initSeat),
         "make the data folder one of the first control seats and exit; once for each seat");
+    add("gateway", po::value(&options.gateway),
+        "run as 'entry' or 'control' with all duties on one thread");
     add("help,h", "show this text");
     add("version", "show the version");
     try {
--- a/src/trefoilrund/operatorduty.cpp
+++ b/src/trefoilrund/operatorduty.cpp
@@ -2,7 +2,7 @@
 
 #include "trefoilrund/frontjson.h"
 #include "trefoilrund/httplistener.h"
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <charconv>
 #include <map>
