--- a/src/libgateway/endpointpool.cpp
+++ b/src/libgateway/endpointpool.cpp
@@ -193,7 +193,7 @@
 }
 
 asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
-                                      const ServerHandler &handler)
+                                      ServerHandler handler)
 {
     Signal signal(co_await asio::this_coro::executor);
     channel->setListener(&signal);
--- a/src/libgateway/endpointpool.h
+++ b/src/libgateway/endpointpool.h
@@ -93,6 +93,6 @@
 
 // Answers the requests of one connection until it ends.
 boost::asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
-                                             const ServerHandler &handler);
+                                             ServerHandler handler);
 
 } // namespace Trefoil
