libfleet: a new leader adopts only whole groups, and opens none before all members are ready

A second case, found by the new stand-in fleet: members that reported later than others of their group were joined elsewhere while its head could serve. Ruled out: late orders of the old leader, which the fencing number stops.

Test: tests/test_fleetgroups.cpp, a fleet of stand-in engines in virtual time, 60 seeds of random losses, cuts, drains, late orders and changes of leader; both cases failed before.

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -252,6 +252,10 @@
     const EndpointId *missing = missingMember(planning, group);
     switch (group.stage) {
     case GroupStage::Forming:
+        if (missing && group.unansweredOpens > 0) {
+            startClosing(planning, group, *missing);
+            return;
+        }
         isOver = missing != nullptr
                  || planning.now - group.stageSince > planning.planner.options.formingTimeout;
         if (!isOver)
@@ -320,10 +324,32 @@
     return found;
 }
 
+// Adds members of adopted groups that reported later than the others.
+void addLateMembers(Planning &planning)
+{
+    for (const auto &[id, endpoint] : planning.table.endpoints) {
+        const auto &membership = endpoint.report.membership;
+        if (!membership)
+            continue;
+        const auto group = planning.planner.groups.find(membership->group);
+        if (group == planning.planner.groups.end())
+            continue;
+        auto &members = group->second.members;
+        if (std::find(members.begin(), members.end(), id) != members.end())
+            continue;
+        if (membership->rank == 0 && members.front().empty())
+            members.front() = id;
+        else
+            members.push_back(id);
+    }
+}
+
 // Takes over the groups of an earlier leader. Groups that cannot go on are closed; those that were
 // never opened are forgotten, so that their members can be joined to others.
 void adoptGroups(Planning &planning)
 {
+    addLateMembers(planning);
+    const bool isGathering = planning.now < planning.planner.gatherUntil;
     for (auto &[name, reported] : unknownGroups(planning)) {
         if (!reported.isHeard || !reported.wasReady)
             continue;
@@ -340,10 +366,12 @@
                 service && service->engine ? findModel(*service->engine, group.model) : nullptr;
         const bool complete = reported.isHeadHeard && model
                               && reported.ranks.size() == model->vmsPerGroup;
+        if (!complete && isGathering)
+            continue; // the others may report within a heartbeat
         if (complete && reported.headPhase == MembershipPhase::Open)
             group.stage = GroupStage::Open;
         else if (complete && reported.headPhase == MembershipPhase::Ready)
-            group.stage = GroupStage::Opening;
+            group.stage = GroupStage::Forming; // a member may not be ready yet
         else
             group.stage = GroupStage::Closing;
         if (reported.isHeadHeard && reported.headPhase == MembershipPhase::Broken)
@@ -356,6 +384,8 @@
 {
     const GroupPlanner &planner = planning.planner;
     const auto &membership = endpoint.report.membership;
+    if (membership && planning.now < planner.gatherUntil)
+        return false;
     const bool inPlan =
             std::any_of(planner.groups.begin(), planner.groups.end(), [&](const auto &item) {
                 const auto &members = item.second.members;
@@ -486,11 +516,12 @@
 
 } // namespace
 
-GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term)
+GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term, TimePoint now)
 {
     GroupPlanner planner;
     planner.options = options;
     planner.fencingToken = term;
+    planner.gatherUntil = now + options.gatherTime;
     planner.nextEpoch = term * EpochsPerTerm + 1;
     return planner;
 }
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -76,6 +76,7 @@
     Duration formingTimeout = std::chrono::seconds(60);
     Duration closeTimeout = std::chrono::seconds(10); // for requests in progress at a planned close
     double balanceTolerance = 1.2; // relative excess of served share at which a model still grows
+    Duration gatherTime = std::chrono::milliseconds(1800); // of a new leader, over a heartbeat
     std::uint32_t initialConcurrentLoads = 48; // before the first request
 };
 
@@ -85,6 +86,7 @@
     std::uint64_t fencingToken = 0; // term of the leader
     std::uint64_t nextEpoch = 1;    // above all epochs of earlier leaders
     std::uint64_t nextOrder = 1;
+    TimePoint gatherUntil{}; // until then VMs of unknown groups may not have reported yet
     bool hasTraffic = true;
     std::map<std::string, FleetGroup> groups;
     std::map<EndpointId, SentGroupOrder> orders;
@@ -93,7 +95,8 @@
 };
 
 // Starts the planner of a new leader.
-GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term);
+GroupPlanner makeGroupPlanner(const GroupPlannerOptions &options, std::uint64_t term,
+                              TimePoint now);
 
 // Orders that are due. Call at least every 100 ms and after each changed report.
 std::vector<GroupOrder> planGroups(GroupPlanner &planner, const EndpointTable &table,
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -26,7 +26,6 @@
 constexpr auto ConnectRetry = std::chrono::milliseconds(300);
 constexpr auto PeerRetention = std::chrono::seconds(60); // of a control VM that is no seed
 constexpr auto EndpointRetention = std::chrono::minutes(5);
-constexpr auto LeaderWarmUp = std::chrono::milliseconds(700); // to hear of existing groups
 constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
 constexpr auto PublishTimeout = std::chrono::milliseconds(3000);
 constexpr auto StopDelay = std::chrono::milliseconds(300);
@@ -666,7 +665,6 @@
     const bool leads = seat_->isActingLeader();
     if (leads != wasLeader_) {
         wasLeader_ = leads;
-        leadsSince_ = now;
         planner_.reset();
         logEvent(leads ? Event::LeaderElected : Event::LeaderLost,
                  {{"term", std::to_string(seat_->term())}});
@@ -674,7 +672,8 @@
             GroupPlannerOptions options;
             options.lossTimeout = lossTimeout();
             options.stallTimeout = settings_.stallTimeout;
-            planner_ = makeGroupPlanner(options, seat_->term());
+            options.gatherTime = settings_.heartbeat * 3 / 2;
+            planner_ = makeGroupPlanner(options, seat_->term(), now);
         }
     }
     if (!leads || now < nextPlan_)
@@ -682,7 +681,7 @@
     nextPlan_ = now + PlanInterval;
     manageSeats(now);
     const ServiceConfiguration *config = configuration();
-    if (!config || now - leadsSince_ < LeaderWarmUp)
+    if (!config)
         return;
     planner_->hasTraffic = hasTraffic_;
     for (GroupOrder &order : planGroups(*planner_, table_, *config, now)) {
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -112,7 +112,6 @@
     std::uint64_t decodedVersion_ = 0;
     std::optional<ServiceConfiguration> decoded_;
     std::optional<GroupPlanner> planner_; // while this seat leads
-    TimePoint leadsSince_{};
     bool wasLeader_ = false;
     bool hasTraffic_ = false;
     bool isStopping_ = false;
--- /dev/null
+++ b/tests/test_fleetgroups.cpp
@@ -0,0 +1,164 @@
+#define BOOST_TEST_MODULE fleetgroups
+#include "support/enginefleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace Trefoil {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Every promise of the groups was kept.
+void checkPromises(const EngineFleet &fleet)
+{
+    BOOST_CHECK_MESSAGE(fleet.broken.empty(),
+                        (fleet.broken.empty() ? "" : fleet.broken.front()));
+}
+
+EndpointId anyMember(const EngineFleet &fleet, bool isHead)
+{
+    for (const auto &[name, group] : fleet.planner.groups) {
+        if (group.stage == GroupStage::Open)
+            return isHead ? group.members.front() : group.members.back();
+    }
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(groups_form_from_nothing_in_the_shares_of_the_models)
+{
+    EngineFleet fleet = makeEngineFleet(6, 1);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(40));
+    BOOST_CHECK_GE(openGroups(fleet, "large"), 9);
+    BOOST_CHECK_GE(openGroups(fleet, "small"), 3);
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(loads_keep_to_the_rate_of_the_weight_store)
+{
+    EngineFleet fleet = makeEngineFleet(6, 1);
+    runFleet(fleet, seconds(60));
+    BOOST_CHECK_GT(fleet.loads.size(), 6);
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_does_not_open_a_group_with_a_member_that_still_loads)
+{
+    EngineFleet fleet = makeEngineFleet(1, 1);
+    runFleet(fleet, milliseconds(500));
+    // The head is ready from its host's copy, the others still load.
+    StandInEngine &head = fleet.engines.at(fleet.planner.groups.begin()->second.members.front());
+    head.changesAt = fleet.now;
+    runFleet(fleet, milliseconds(100));
+    changeLeader(fleet);
+    runFleet(fleet, seconds(40));
+    BOOST_CHECK_GE(openGroups(fleet, "large"), 1);
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_member_closes_its_group_and_the_others_serve_again)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    runFleet(fleet, seconds(60));
+    const std::size_t before = openGroups(fleet, "large") + openGroups(fleet, "small");
+    const EndpointId lost = anyMember(fleet, false);
+    crashEngine(fleet, lost);
+    runFleet(fleet, seconds(5));
+    restartEngine(fleet, lost);
+    runFleet(fleet, seconds(20));
+    BOOST_CHECK_EQUAL(openGroups(fleet, "large") + openGroups(fleet, "small"), before);
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(members_of_a_silent_head_wait_until_it_is_broken)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    runFleet(fleet, seconds(60));
+    const EndpointId head = anyMember(fleet, true);
+    setCut(fleet, head, true);
+    runFleet(fleet, seconds(30));
+    checkPromises(fleet);
+    setCut(fleet, head, false);
+    runFleet(fleet, seconds(30));
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_leader_frees_no_member_of_a_head_that_it_never_heard)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    runFleet(fleet, seconds(60));
+    setCut(fleet, anyMember(fleet, true), true);
+    runFleet(fleet, seconds(2));
+    changeLeader(fleet);
+    fleet.table = EndpointTable{}; // this leader's table starts empty
+    runFleet(fleet, seconds(30));
+    checkPromises(fleet);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_member_ends_its_group_without_cutting_requests)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    runFleet(fleet, seconds(60));
+    const EndpointId leaving = anyMember(fleet, false);
+    const std::string group = fleet.engines.at(leaving).report.membership->group;
+    setDraining(fleet, leaving);
+    runFleet(fleet, milliseconds(200));
+    BOOST_REQUIRE(fleet.planner.groups.contains(group));
+    BOOST_CHECK(fleet.planner.groups.at(group).closeMode == CloseMode::FinishRequests);
+    runFleet(fleet, seconds(20));
+    BOOST_CHECK(!fleet.planner.groups.contains(group));
+    checkPromises(fleet);
+}
+
+// Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
+// overlapping.
+BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
+{
+    constexpr std::uint64_t Seeds = 60;
+    constexpr int Steps = 40;
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+        EngineFleet fleet = makeEngineFleet(2, seed);
+        runFleet(fleet, seconds(30));
+        fleet.lateShare = 0.35;
+        for (int step = 0; step < Steps; ++step) {
+            auto item = fleet.engines.begin();
+            std::advance(item, static_cast<long>(fleet.rng() % fleet.engines.size()));
+            const EndpointId id = item->first;
+            StandInEngine &engine = item->second;
+            switch (fleet.rng() % 8) {
+            case 0:
+            case 1:
+                crashEngine(fleet, id);
+                break;
+            case 2:
+            case 3:
+                if (!engine.isRunning)
+                    restartEngine(fleet, id);
+                break;
+            case 4:
+                setCut(fleet, id, true);
+                break;
+            case 5:
+                for (auto &[other, cut] : fleet.engines)
+                    cut.isCut = false;
+                break;
+            case 6:
+                changeLeader(fleet);
+                break;
+            default:
+                setDraining(fleet, id);
+                break;
+            }
+            runFleet(fleet, milliseconds(100 + fleet.rng() % 3000));
+        }
+        BOOST_REQUIRE_MESSAGE(fleet.broken.empty(),
+                              "seed " << seed << ": "
+                                      << (fleet.broken.empty() ? "" : fleet.broken.front()));
+    }
+}
+
+} // namespace Trefoil
