libfleet, libgateway: groups live on the answers that entries see; heartbeats go to the leader

Entries now report which heads made progress, which is a sign of each VM of the group; heartbeats are sent to the leader, whose address entries carry between the parted control VMs; an accepted leave order is believed and not repeated.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -78,7 +78,8 @@
     std::string (*encodeOrder)(const GroupOrder &order) = nullptr;
     std::string (*encodeEntryList)(std::span<const std::string> addresses,
                                    Duration lifetime) = nullptr;
-    std::string (*encodeHeartbeatReply)() = nullptr;
+    // `reportAddress` is where later heartbeats go, empty for anywhere.
+    std::string (*encodeHeartbeatReply)(std::string_view reportAddress) = nullptr;
     std::string (*encodeError)(std::string_view text) = nullptr;
 };
 
--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -89,6 +89,23 @@
     found->second.lastHeard = std::max(found->second.lastHeard, now - age);
 }
 
+void takeProgress(EndpointTable &table, const EndpointId &head, std::uint64_t startedAtMs,
+                  Duration age, TimePoint now)
+{
+    const auto found = table.endpoints.find(head);
+    if (found == table.endpoints.end() || found->second.report.startedAtMs != startedAtMs)
+        return;
+    found->second.lastHeard = std::max(found->second.lastHeard, now - age);
+    const auto membership = found->second.report.membership;
+    if (!membership || membership->rank != 0)
+        return;
+    for (auto &[id, endpoint] : table.endpoints) {
+        const auto &other = endpoint.report.membership;
+        if (other && other->group == membership->group && other->epoch == membership->epoch)
+            endpoint.lastHeard = std::max(endpoint.lastHeard, now - age);
+    }
+}
+
 void forgetEndpoints(EndpointTable &table, Duration retention, TimePoint now)
 {
     std::erase_if(table.endpoints,
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -81,6 +81,11 @@
 void takeSign(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs, Duration age,
               TimePoint now);
 
+// Notes that the head of a group made progress `age` ago. A group makes none without all its VMs, so
+// this is a sign of each of them.
+void takeProgress(EndpointTable &table, const EndpointId &head, std::uint64_t startedAtMs,
+                  Duration age, TimePoint now);
+
 // Drops endpoints that left or fell silent longer than `retention` ago.
 void forgetEndpoints(EndpointTable &table, Duration retention, TimePoint now);
 
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -126,10 +126,11 @@
     const Duration timeout = planning.planner.options.orderTimeout;
     std::erase_if(planning.planner.orders, [&](const auto &item) {
         const Endpoint *endpoint = findEndpoint(planning.table, item.first);
-        const bool joined = item.second.kind == OrderKind::Join && endpoint
-                            && endpoint->report.membership
-                            && endpoint->report.membership->group == item.second.group;
-        return joined || planning.now - item.second.sentAt > timeout;
+        const bool isMemberNow = endpoint && endpoint->report.membership
+                                 && endpoint->report.membership->group == item.second.group;
+        const bool isVisible = (item.second.kind == OrderKind::Join && isMemberNow)
+                               || (item.second.kind == OrderKind::Leave && !isMemberNow);
+        return isVisible || planning.now - item.second.sentAt > timeout;
     });
 }
 
@@ -200,7 +201,7 @@
         const Endpoint *member = planning.heard(id);
         if (!member || id == group.members.front())
             continue;
-        if (!isMember(*member, group)) {
+        if (!isMember(*member, group) || group.left.contains(id)) {
             anyLeft = true;
             continue;
         }
@@ -558,9 +559,13 @@
     if (isAnswered && found->second.kind == OrderKind::Open && planned != planner.groups.end()
         && planned->second.unansweredOpens > 0)
         --planned->second.unansweredOpens;
-    // The next report shows an accepted join; until then no other order follows it.
+    const OrderKind kind = found->second.kind;
+    if (outcome == OrderOutcome::Accepted && kind == OrderKind::Leave
+        && planned != planner.groups.end())
+        planned->second.left.insert(endpoint);
+    // The next report shows an accepted join or leave; until then no other order follows it.
     const bool isPending = outcome == OrderOutcome::Accepted
-                           && found->second.kind == OrderKind::Join;
+                           && (kind == OrderKind::Join || kind == OrderKind::Leave);
     if (isPending || !isAnswered)
         return;
     planner.orders.erase(found);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,7 @@
     CloseMode closeMode = CloseMode::FinishRequests;
     TimePoint lastHeadOrder{}; // last order to the head after it joined
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
+    std::set<EndpointId> left; // members that have taken a leave order
     TimePoint abandonedSince{}; // all known members have left a head that is silent
 };
 
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -31,6 +31,7 @@
 constexpr auto StopDelay = std::chrono::milliseconds(300);
 constexpr auto SeatChangeInterval = std::chrono::milliseconds(400);
 constexpr std::size_t ChannelCapacity = 1024 * 1024;
+constexpr std::size_t MaxEndpointsOfOneReceiver = 400; // beyond it reports stay spread
 constexpr std::size_t MaxListedEntries = 64;
 
 std::uint32_t toMs(Duration duration)
@@ -41,8 +42,15 @@
 
 KnownNode toKnownNode(const LinkHello &hello)
 {
-    return {hello.kind,          hello.name,    hello.domain, hello.internalAddress,
-            hello.publicAddress, hello.process, hello.isReady};
+    KnownNode node;
+    node.kind = hello.kind;
+    node.name = hello.name;
+    node.domain = hello.domain;
+    node.internalAddress = hello.internalAddress;
+    node.publicAddress = hello.publicAddress;
+    node.process = hello.process;
+    node.isReady = hello.isReady;
+    return node;
 }
 
 std::string joinTexts(std::span<const std::string> texts)
@@ -243,6 +251,7 @@
         link.hello = std::move(*hello);
         link.hasHello = true;
         hasTraffic_ = hasTraffic_ || link.hello.requests > 0;
+        takeEntryFacts(link.hello);
         if (link.hello.kind == NodeKind::Control) {
             learnPeer(link.hello.internalAddress, false);
             const auto peer = peers_.find(link.hello.internalAddress);
@@ -274,6 +283,30 @@
     }
 }
 
+// Signs of endpoints that an entry saw, and the leader that it knows of.
+void ControlProcess::takeEntryFacts(const LinkHello &hello)
+{
+    const TimePoint now = RuntimeClock::now();
+    for (const LinkHello::Progress &progress : hello.progress)
+        takeProgress(table_, progress.endpoint, progress.startedAtMs,
+                     std::chrono::milliseconds(progress.ageMs), now);
+    if (hello.leaderTerm > hintedTerm_) {
+        hintedTerm_ = hello.leaderTerm;
+        hintedLeader_ = hello.leaderAddress;
+    }
+}
+
+// Where endpoints report to, so that the leader hears of them also while control is parted. Empty
+// for here.
+std::string ControlProcess::reportAddress() const
+{
+    if (seat_->isActingLeader() || table_.endpoints.size() > MaxEndpointsOfOneReceiver)
+        return {};
+    if (hintedTerm_ >= seat_->term() && hintedLeader_ != settings_.controlListen)
+        return hintedLeader_;
+    return {};
+}
+
 void ControlProcess::linkEnded(Link &link, const std::string &reason)
 {
     if (link.hasHello)
@@ -300,6 +333,7 @@
 {
     Topology topology;
     topology.nodes.push_back(toKnownNode(ownHello()));
+    topology.nodes.back().leadsInTerm = seat_->isActingLeader() ? seat_->term() : 0;
     const TimePoint now = RuntimeClock::now();
     for (const auto &[pointer, link] : accepted_) {
         if (link->hasHello && now - link->lastHeard < EntrySilence)
@@ -382,7 +416,7 @@
     else if (outcome == ReportOutcome::Refreshed)
         noteSign(report.id);
     ServerResponse response;
-    response.body = dialect_.encodeHeartbeatReply();
+    response.body = dialect_.encodeHeartbeatReply(reportAddress());
     return response;
 }
 
@@ -392,7 +426,7 @@
     if (takeDeparture(table_, call.endpoint, startedAt, RuntimeClock::now()))
         noteChanged(call.endpoint);
     ServerResponse response;
-    response.body = dialect_.encodeHeartbeatReply();
+    response.body = dialect_.encodeHeartbeatReply({});
     return response;
 }
 
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -51,6 +51,8 @@
     boost::asio::awaitable<void> connectPeer(std::string address);
     void learnPeer(const std::string &address, bool isSeed);
     void linkMessage(Link &link, LinkMessage &&message);
+    void takeEntryFacts(const LinkHello &hello);
+    std::string reportAddress() const;
     void linkEnded(Link &link, const std::string &reason);
     LinkHello ownHello() const;
     Topology topology() const;
@@ -114,6 +116,8 @@
     std::optional<GroupPlanner> planner_; // while this seat leads
     bool wasLeader_ = false;
     bool hasTraffic_ = false;
+    Term hintedTerm_ = 0; // of the latest leader that an entry told of
+    std::string hintedLeader_;
     bool isStopping_ = false;
     TimePoint nextSeatChange_{};
     std::uint64_t ordersSent_ = 0;
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -30,6 +30,7 @@
 constexpr auto DigestIntervalPerPeer = std::chrono::milliseconds(10);
 constexpr auto StopMargin = std::chrono::milliseconds(500); // before the bound of a planned stop
 constexpr auto LeastStopTime = std::chrono::milliseconds(4500); // until callers know of the stop
+constexpr auto ProgressRetention = std::chrono::seconds(2); // of signs of endpoints
 constexpr std::size_t ChannelCapacity = 256 * 1024;
 constexpr std::size_t LinkCapacity = 4 * 1024 * 1024;
 constexpr std::size_t MaxDatagram = 32 * 1024;
@@ -157,6 +158,13 @@
     if (now >= nextHello_) {
         nextHello_ = now + HelloInterval;
         sendHello();
+        for (const auto &[id, at] : state_.progressAt) {
+            if (const Endpoint *endpoint = findEndpoint(state_.placement.table, id))
+                takeProgress(state_.placement.table, id, endpoint->report.startedAtMs, now - at,
+                             now);
+        }
+        std::erase_if(state_.progressAt,
+                      [now](const auto &item) { return now - item.second > ProgressRetention; });
         requestConfiguration();
         forgetEndpoints(state_.placement.table, EndpointRetention, now);
         state_.pool.expire(now);
@@ -301,6 +309,22 @@
     hello.process = process_;
     hello.isReady = isReady();
     hello.requests = state_.requests;
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[id, at] : state_.progressAt) {
+        const Endpoint *endpoint = findEndpoint(state_.placement.table, id);
+        if (endpoint && now - at < ProgressRetention)
+            hello.progress.push_back(
+                    {id, endpoint->report.startedAtMs,
+                     static_cast<std::uint32_t>((now - at) / std::chrono::milliseconds(1))});
+    }
+    for (const auto &[address, control] : controls_) {
+        for (const KnownNode &node : control.nodes) {
+            if (!control.link || node.leadsInTerm <= hello.leaderTerm)
+                continue;
+            hello.leaderTerm = node.leadsInTerm;
+            hello.leaderAddress = node.publicAddress;
+        }
+    }
     return hello;
 }
 
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -29,6 +29,7 @@
     EndpointPool pool;
     Metrics metrics;
     std::set<Signal *> sessionSignals; // notified when a planned stop begins
+    std::map<EndpointId, TimePoint> progressAt; // last event or answer of each endpoint
     std::size_t entries = 1; // that share the retry budget, this one included
     std::size_t activeRequests = 0;
     std::uint64_t requests = 0;
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -17,11 +17,17 @@
             r.sequence, r.stagedModels, r.membership);
 }
 
+template <class Archive>
+void serialize(Archive &archive, LinkHello::Progress &p)
+{
+    archive(p.endpoint, p.startedAtMs, p.ageMs);
+}
+
 template <class Archive>
 void serialize(Archive &archive, LinkHello &h)
 {
     archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.process, h.seat,
-            h.isReady, h.requests);
+            h.isReady, h.requests, h.progress, h.leaderTerm, h.leaderAddress);
 }
 
 template <class Archive>
@@ -51,7 +57,8 @@
 template <class Archive>
 void serialize(Archive &archive, KnownNode &n)
 {
-    archive(n.kind, n.name, n.domain, n.internalAddress, n.publicAddress, n.process, n.isReady);
+    archive(n.kind, n.name, n.domain, n.internalAddress, n.publicAddress, n.process, n.isReady,
+            n.leadsInTerm);
 }
 
 template <class Archive>
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -26,6 +26,19 @@
     SeatId seat = NoSeat;
     bool isReady = false;
     std::uint64_t requests = 0; // that the entry has taken
+
+    // Endpoints whose answers made progress here.
+    struct Progress
+    {
+        EndpointId endpoint;
+        std::uint64_t startedAtMs = 0;
+        std::uint32_t ageMs = 0;
+    };
+    std::vector<Progress> progress;
+
+    // The latest leader that this node knows of; entries carry it between parted control VMs.
+    Term leaderTerm = 0;
+    std::string leaderAddress; // for endpoints
 };
 
 struct RaftEnvelope
@@ -60,6 +73,7 @@
     std::string publicAddress;
     std::uint64_t process = 0;
     bool isReady = false;
+    Term leadsInTerm = 0; // 0 while it does not lead
 
     bool operator==(const KnownNode &) const = default;
 };
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -771,6 +771,7 @@
             }
             hasProgress = true;
             progress.lastEventAt = now;
+            state_.progressAt[placement.endpoint] = now;
             if (!progress.firstByteAt)
                 progress.firstByteAt = now;
             text += request.head.isHttp11 ? chunk(events) : events;
