--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -401,16 +401,16 @@
     return !serves;
 }
 
-// Part of its work that the groups of a model can carry, relative to the other models.
+// VMs that serve a model for each unit of its share of the work.
 double servedShare(const Planning &planning, const std::string &service, const ModelProfile &model)
 {
-    double groups = 0;
+    double vms = 0;
     for (const auto &[name, group] : planning.planner.groups) {
         if (group.service == service && group.model == model.name
             && group.stage != GroupStage::Closing)
-            groups += 1;
+            vms += model.vmsPerGroup;
     }
-    return groups / std::max(model.pace, 1e-3) / std::max(model.share, 1e-3);
+    return vms / std::max(model.share, 1e-3);
 }
 
 // The neediest model that fits, unless a model that does not fit is much needier.
