--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -43,6 +43,7 @@
         Endpoint endpoint;
         endpoint.report = report;
         endpoint.lastHeard = now - age;
+        endpoint.lastReport = endpoint.lastHeard;
         endpoint.isSucceeded = isSucceeded(table, report);
         table.endpoints.emplace(report.id, endpoint);
         retirePredecessors(table, report);
@@ -53,6 +54,7 @@
     if (isOlder(report, known.report))
         return ReportOutcome::Stale;
     known.lastHeard = std::max(known.lastHeard, now - age);
+    known.lastReport = std::max(known.lastReport, now - age);
     if (!sameLife) {
         known.hasLeft = false;
         known.isSucceeded = isSucceeded(table, report);
@@ -87,6 +89,7 @@
     if (found == table.endpoints.end() || found->second.report.startedAtMs != startedAtMs)
         return;
     found->second.lastHeard = std::max(found->second.lastHeard, now - age);
+    found->second.lastReport = std::max(found->second.lastReport, now - age);
 }
 
 void takeProgress(EndpointTable &table, const EndpointId &head, std::uint64_t startedAtMs,
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -51,7 +51,8 @@
 struct Endpoint
 {
     EndpointReport report;
-    TimePoint lastHeard{};
+    TimePoint lastHeard{};  // by a report or by progress of its group
+    TimePoint lastReport{}; // by a report of its own
     bool hasLeft = false;     // said that it ends; it may still serve for a while
     bool isSucceeded = false; // a later endpoint has its address, so it has ended
 };
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
 #include <set>
 
 namespace Trefoil {
@@ -14,8 +15,18 @@
 // Epochs of one term; a later term's epochs are always higher.
 constexpr std::uint64_t EpochsPerTerm = 1'000'000;
 
+// Fencing numbers of one term. A late order has a lower number than those that an engine has obeyed
+// since, whoever sent it.
+constexpr std::uint64_t OrdersPerTerm = 1'000'000'000;
+
 constexpr Duration LoadWindow = std::chrono::seconds(5);
 
+// Stands between the model and the head in the name of a group.
+std::string epochMark(std::uint64_t epoch)
+{
+    return "." + std::to_string(epoch) + ".";
+}
+
 // View of one planning step.
 struct Planning
 {
@@ -107,7 +118,8 @@
     sent.address = endpoint.report.address;
     sent.group = group.name;
     sent.epoch = group.epoch;
-    sent.fencingToken = planner.fencingToken;
+    sent.term = planner.term;
+    sent.fencingToken = planner.term * OrdersPerTerm + sent.number;
     sent.model = group.model;
     sent.members = group.members;
     sent.closeMode = group.closeMode;
@@ -134,13 +146,26 @@
     });
 }
 
+// True while entries see no progress at the head. A VM of such a group is lost after a shorter
+// silence of its own.
+bool isStalled(const Planning &planning, const FleetGroup &group)
+{
+    const auto stalled = planning.planner.stalledHeads.find(group.members.front());
+    return stalled != planning.planner.stalledHeads.end()
+           && planning.now - stalled->second < planning.planner.options.stallMemory;
+}
+
 // A member that is lost for good or about to leave.
 const EndpointId *missingMember(const Planning &planning, const FleetGroup &group)
 {
+    const bool stalled = isStalled(planning, group);
     for (const EndpointId &id : group.members) {
         const Endpoint *endpoint = planning.usable(id);
         if (!endpoint)
             return &id;
+        const Duration silence = planning.now - endpoint->lastReport;
+        if (stalled && silence > planning.planner.options.stalledLossTimeout)
+            return &id;
         const bool joined = group.stage == GroupStage::Forming || isMember(*endpoint, group);
         if (!joined)
             return &id;
@@ -288,6 +313,7 @@
 // What engines report of a group that this planner does not know.
 struct ReportedGroup
 {
+    std::optional<GroupMembership> membership; // of one of the members
     FleetGroup group;
     std::map<std::uint32_t, EndpointId> ranks;
     bool isHeadHeard = false;
@@ -302,15 +328,17 @@
     for (const auto &[id, endpoint] : planning.table.endpoints) {
         const auto &membership = endpoint.report.membership;
         const bool unknown = membership && !planning.planner.groups.contains(membership->group)
+                             && !planning.planner.ended.contains(membership->group)
                              && !endpoint.isSucceeded;
         if (!unknown)
             continue;
         ReportedGroup &reported = found[membership->group];
+        reported.membership = membership;
         FleetGroup &group = reported.group;
         group.name = membership->group;
         group.epoch = membership->epoch;
         group.service = endpoint.report.service;
-        group.model = modelOfGroup(membership->group);
+        group.model = modelOfGroup(*membership);
         group.fabric = endpoint.report.fabric;
         reported.ranks[membership->rank] = id;
         if (!planning.heard(id))
@@ -338,11 +366,20 @@
         auto &members = group->second.members;
         if (std::find(members.begin(), members.end(), id) != members.end())
             continue;
-        if (membership->rank == 0 && members.front().empty())
-            members.front() = id;
-        else
-            members.push_back(id);
+        members.push_back(id);
+    }
+}
+
+// Forgets ended groups that nobody reports any more.
+void forgetEnded(Planning &planning)
+{
+    std::set<std::string> reported;
+    for (const auto &[id, endpoint] : planning.table.endpoints) {
+        if (endpoint.report.membership)
+            reported.insert(endpoint.report.membership->group);
     }
+    std::erase_if(planning.planner.ended,
+                  [&reported](const std::string &name) { return !reported.contains(name); });
 }
 
 // Takes over the groups of an earlier leader. Groups that cannot go on are closed; those that were
@@ -358,7 +395,7 @@
         for (const auto &[rank, id] : reported.ranks)
             group.members.push_back(id);
         if (!reported.ranks.contains(0))
-            group.members.insert(group.members.begin(), EndpointId{});
+            group.members.insert(group.members.begin(), headOfGroup(*reported.membership));
         group.stageSince = planning.now;
         group.unansweredOpens = 1;
         group.closeMode = CloseMode::CutRequests;
@@ -413,6 +450,35 @@
     return vms / std::max(model.share, 1e-3);
 }
 
+// Part of the slots of a model's groups that is in use.
+double utilization(const Planning &planning, const Service &service, const ModelProfile &model)
+{
+    double slots = 0;
+    for (const auto &[name, group] : planning.planner.groups) {
+        if (group.service == service.name && group.model == model.name
+            && group.stage == GroupStage::Open)
+            slots += service.engine->slots;
+    }
+    const auto sequences = planning.planner.sequences.find(model.name);
+    if (sequences == planning.planner.sequences.end())
+        return 0;
+    return sequences->second / std::max(slots, 1.0);
+}
+
+// True when forming the group leaves the reserve of spare VMs, or the model needs it.
+bool mayForm(const Planning &planning, const Service &service, const ModelProfile &model)
+{
+    double usable = 0;
+    double inGroups = 0;
+    for (const auto &[id, endpoint] : planning.table.endpoints)
+        usable += endpoint.report.service == service.name && planning.usable(id) ? 1 : 0;
+    for (const auto &[name, group] : planning.planner.groups)
+        inGroups += group.service == service.name ? static_cast<double>(group.members.size()) : 0;
+    const double limit = usable * (1 - planning.planner.options.reserve);
+    return inGroups + model.vmsPerGroup <= limit
+           || utilization(planning, service, model) > planning.planner.options.busyAt;
+}
+
 // The neediest model that fits, unless a model that does not fit is much needier.
 const ModelProfile *chooseModel(const Planning &planning, const Service &service,
                                 std::size_t freeVms)
@@ -428,8 +494,12 @@
             chosenShare = share;
         }
     }
+    if (!chosen)
+        return nullptr;
     const bool balanced = chosenShare <= lowest * planning.planner.options.balanceTolerance;
-    return chosen && balanced ? chosen : nullptr;
+    const bool isBusy =
+            utilization(planning, service, *chosen) > planning.planner.options.busyAt;
+    return (balanced || isBusy) && mayForm(planning, service, *chosen) ? chosen : nullptr;
 }
 
 // VMs that join fastest first: the model staged, then nothing staged; then by failure domain.
@@ -450,7 +520,7 @@
     sortForModel(free, model.name);
     FleetGroup group;
     group.epoch = planning.planner.nextEpoch++;
-    group.name = groupName(model.name, group.epoch);
+    group.name = groupName(model.name, group.epoch, free.front()->report.id);
     group.service = service.name;
     group.model = model.name;
     group.fabric = fabric;
@@ -462,23 +532,55 @@
     joinMembers(planning, added, *service.engine);
 }
 
-// Loads the largest model onto a spare VM that holds none, so that a later repair is fast.
-void stageSpare(Planning &planning, const Service &service, const Endpoint &vm)
+// The model that spares of a fabric should hold next: of the models that serve there the one with
+// the fewest spares, larger groups first.
+const ModelProfile *modelToStage(const Planning &planning, const Service &service,
+                                 const std::string &fabric,
+                                 const std::vector<const Endpoint *> &spares)
 {
-    const auto &models = service.engine->models;
-    const bool isStaging = planning.planner.stagingUntil.contains(vm.report.id);
-    if (!vm.report.stagedModels.empty() || models.empty() || isStaging)
-        return;
-    const auto largest = std::max_element(
-            models.begin(), models.end(), [](const ModelProfile &a, const ModelProfile &b) {
-                return a.share * a.vmsPerGroup < b.share * b.vmsPerGroup;
-            });
-    if (!mayStartLoad(planning, *service.engine))
-        return;
-    FleetGroup none;
-    none.model = largest->name;
-    if (order(planning, vm, none, OrderKind::Stage, "spare VM", true))
-        planning.planner.stagingUntil[vm.report.id] = planning.now + largest->loadTime;
+    const ModelProfile *chosen = nullptr;
+    double fewest = std::numeric_limits<double>::max();
+    for (const ModelProfile &model : service.engine->models) {
+        const bool serves = std::any_of(
+                planning.planner.groups.begin(), planning.planner.groups.end(),
+                [&](const auto &item) {
+                    return item.second.fabric == fabric && item.second.model == model.name;
+                });
+        if (!serves)
+            continue;
+        double staged = 0;
+        for (const Endpoint *spare : spares) {
+            const auto staging = planning.planner.staging.find(spare->report.id);
+            const bool isStaging = staging != planning.planner.staging.end()
+                                   && staging->second.model == model.name;
+            staged += isStaging || hasStaged(*spare, model.name) ? 1 : 0;
+        }
+        const double relative = staged / model.vmsPerGroup;
+        if (relative < fewest) {
+            fewest = relative;
+            chosen = &model;
+        }
+    }
+    return chosen;
+}
+
+// Loads models onto spare VMs that hold none, so that a later repair is fast.
+void stageSpares(Planning &planning, const Service &service, const std::string &fabric,
+                 const std::vector<const Endpoint *> &spares)
+{
+    for (const Endpoint *spare : spares) {
+        const bool isStaging = planning.planner.staging.contains(spare->report.id);
+        if (!spare->report.stagedModels.empty() || isStaging)
+            continue;
+        const ModelProfile *model = modelToStage(planning, service, fabric, spares);
+        if (!model || !mayStartLoad(planning, *service.engine))
+            return;
+        FleetGroup none;
+        none.model = model->name;
+        if (order(planning, *spare, none, OrderKind::Stage, "spare VM", true))
+            planning.planner.staging[spare->report.id] = {model->name,
+                                                          planning.now + model->loadTime};
+    }
 }
 
 void formGroups(Planning &planning, const Service &service)
@@ -494,12 +596,12 @@
     std::vector<std::string> fabrics;
     for (const auto &[fabric, free] : freeByFabric)
         fabrics.push_back(fabric);
-    std::stable_sort(fabrics.begin(), fabrics.end(), [&](const auto &a, const auto &b) {
-        return freeByFabric[a].size() > freeByFabric[b].size();
-    });
     bool formed = true;
     while (formed) {
         formed = false;
+        std::stable_sort(fabrics.begin(), fabrics.end(), [&](const auto &a, const auto &b) {
+            return freeByFabric[a].size() > freeByFabric[b].size();
+        });
         for (const std::string &fabric : fabrics) {
             auto &free = freeByFabric[fabric];
             const ModelProfile *model = chooseModel(planning, service, free.size());
@@ -507,12 +609,11 @@
                 continue;
             formGroup(planning, service, *model, fabric, free);
             formed = true;
+            break;
         }
     }
-    for (const auto &[fabric, free] : freeByFabric) {
-        for (const Endpoint *vm : free)
-            stageSpare(planning, service, *vm);
-    }
+    for (const auto &[fabric, free] : freeByFabric)
+        stageSpares(planning, service, fabric, free);
 }
 
 } // namespace
@@ -521,7 +622,7 @@
 {
     GroupPlanner planner;
     planner.options = options;
-    planner.fencingToken = term;
+    planner.term = term;
     planner.gatherUntil = now + options.gatherTime;
     planner.nextEpoch = term * EpochsPerTerm + 1;
     return planner;
@@ -532,15 +633,21 @@
 {
     Planning planning{planner, table, config, now, {}};
     dropOverdueOrders(planning);
-    std::erase_if(planner.stagingUntil, [now](const auto &item) { return item.second <= now; });
+    std::erase_if(planner.staging, [now](const auto &item) { return item.second.until <= now; });
+    std::erase_if(planner.stalledHeads, [&](const auto &item) {
+        return now - item.second > planner.options.stallMemory;
+    });
     adoptGroups(planning);
     for (auto item = planner.groups.begin(); item != planner.groups.end();) {
         const Service *service = findService(config, item->second.service);
         bool isOver = !service || !service->engine;
         if (!isOver)
             advanceGroup(planning, item->second, *service->engine, isOver);
+        if (isOver)
+            planner.ended.insert(item->first);
         item = isOver ? planner.groups.erase(item) : std::next(item);
     }
+    forgetEnded(planning);
     for (const Service &service : config.services) {
         if (service.engine)
             formGroups(planning, service);
@@ -548,6 +655,11 @@
     return std::move(planning.orders);
 }
 
+void noteStall(GroupPlanner &planner, const EndpointId &head, TimePoint now)
+{
+    planner.stalledHeads[head] = now;
+}
+
 void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
                       OrderOutcome outcome)
 {
@@ -570,18 +682,29 @@
         return;
     planner.orders.erase(found);
     const bool isLost = outcome == OrderOutcome::Outdated || outcome == OrderOutcome::WrongEndpoint;
-    if (isLost && planned != planner.groups.end() && planned->second.stage == GroupStage::Forming)
+    const bool isForming = planned != planner.groups.end()
+                           && planned->second.stage == GroupStage::Forming;
+    if (isLost && isForming && planned->second.unansweredOpens == 0) {
+        planner.ended.insert(planned->first);
         planner.groups.erase(planned);
+    }
+}
+
+std::string groupName(const std::string &model, std::uint64_t epoch, const EndpointId &head)
+{
+    return model + epochMark(epoch) + head;
 }
 
-std::string groupName(const std::string &model, std::uint64_t epoch)
+std::string modelOfGroup(const GroupMembership &membership)
 {
-    return model + "." + std::to_string(epoch);
+    return membership.group.substr(0, membership.group.find(epochMark(membership.epoch)));
 }
 
-std::string modelOfGroup(const std::string &group)
+EndpointId headOfGroup(const GroupMembership &membership)
 {
-    return group.substr(0, group.rfind('.'));
+    const std::string mark = epochMark(membership.epoch);
+    const std::size_t place = membership.group.find(mark);
+    return place == std::string::npos ? EndpointId{} : membership.group.substr(place + mark.size());
 }
 
 const char *toString(OrderKind kind)
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -26,7 +26,8 @@
     std::string address;
     std::string group;
     std::uint64_t epoch = 0;
-    std::uint64_t fencingToken = 0;
+    std::uint64_t term = 0;         // of the leader
+    std::uint64_t fencingToken = 0; // grows with each order, over all leaders
     std::string model;
     std::vector<EndpointId> members; // the first one is the head
     CloseMode closeMode = CloseMode::FinishRequests;
@@ -69,6 +70,12 @@
     bool isLoad = false; // starts a load from the weight store
 };
 
+struct Staging
+{
+    std::string model;
+    TimePoint until{};
+};
+
 struct GroupPlannerOptions
 {
     Duration lossTimeout = std::chrono::milliseconds(3000);  // silence after which a VM is lost
@@ -79,20 +86,27 @@
     Duration closeTimeout = std::chrono::seconds(10); // for requests in progress at a planned close
     double balanceTolerance = 1.2; // relative excess of served share at which a model still grows
     Duration gatherTime = std::chrono::milliseconds(1800); // of a new leader, over a heartbeat
+    Duration stalledLossTimeout = std::chrono::milliseconds(1650); // of a VM whose group stalls
+    Duration stallMemory = std::chrono::milliseconds(1500); // a reported stall counts this long
+    double reserve = 0.0;      // part of the VMs kept as spares while no model needs them
+    double busyAt = 0.5;       // part of a model's slots in use from which it may use the reserve
     std::uint32_t initialConcurrentLoads = 48; // before the first request
 };
 
 struct GroupPlanner
 {
     GroupPlannerOptions options;
-    std::uint64_t fencingToken = 0; // term of the leader
+    std::uint64_t term = 0; // of the leader
     std::uint64_t nextEpoch = 1;    // above all epochs of earlier leaders
     std::uint64_t nextOrder = 1;
     TimePoint gatherUntil{}; // until then VMs of unknown groups may not have reported yet
     bool hasTraffic = true;
+    std::map<std::string, double> sequences;         // in progress, by model, over all entries
+    std::map<EndpointId, TimePoint> stalledHeads;    // heads without progress, as entries report
     std::map<std::string, FleetGroup> groups;
     std::map<EndpointId, SentGroupOrder> orders;
-    std::map<EndpointId, TimePoint> stagingUntil; // spare VMs that load a model ahead
+    std::set<std::string> ended; // groups that are over although members still report them
+    std::map<EndpointId, Staging> staging; // spare VMs that load a model ahead
     std::deque<TimePoint> loadStarts;
 };
 
@@ -104,12 +118,17 @@
 std::vector<GroupOrder> planGroups(GroupPlanner &planner, const EndpointTable &table,
                                    const ServiceConfiguration &config, TimePoint now);
 
+// Notes that an entry saw no progress at a head that has its requests.
+void noteStall(GroupPlanner &planner, const EndpointId &head, TimePoint now);
+
 void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
                       OrderOutcome outcome);
 
-// Name of a group; its model can be read back from it.
-std::string groupName(const std::string &model, std::uint64_t epoch);
-std::string modelOfGroup(const std::string &group);
+// Name of a group. Its model and its head can be read back from it, so that a later leader knows them
+// from the report of any member.
+std::string groupName(const std::string &model, std::uint64_t epoch, const EndpointId &head);
+std::string modelOfGroup(const GroupMembership &membership);
+EndpointId headOfGroup(const GroupMembership &membership);
 
 const char *toString(OrderKind kind);
 
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -1,5 +1,7 @@
 #include "libfleet/placement.h"
 
+#include "libfleet/groupplanner.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -43,8 +45,7 @@
     const auto &membership = endpoint.report.membership;
     if (!membership || membership->rank != 0 || membership->phase != MembershipPhase::Open)
         return false;
-    return membership->group.starts_with(model)
-           && membership->group.substr(0, membership->group.rfind('.')) == model;
+    return modelOfGroup(*membership) == model;
 }
 
 const EndpointHealth *healthOf(const PlacementState &state, const Endpoint &endpoint)
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -290,6 +290,12 @@
     for (const LinkHello::Progress &progress : hello.progress)
         takeProgress(table_, progress.endpoint, progress.startedAtMs,
                      std::chrono::milliseconds(progress.ageMs), now);
+    if (planner_) {
+        for (const EndpointId &head : hello.stalled)
+            noteStall(*planner_, head, now);
+        if (!hello.stalled.empty())
+            nextPlan_ = TimePoint{};
+    }
     if (hello.leaderTerm > hintedTerm_) {
         hintedTerm_ = hello.leaderTerm;
         hintedLeader_ = hello.leaderAddress;
@@ -699,13 +705,14 @@
     const bool leads = seat_->isActingLeader();
     if (leads != wasLeader_) {
         wasLeader_ = leads;
-        planner_.reset();
         logEvent(leads ? Event::LeaderElected : Event::LeaderLost,
                  {{"term", std::to_string(seat_->term())}});
-        if (leads) {
+        // A leader that regains its lease in the same term goes on; its epochs must not begin again.
+        if (leads && (!planner_ || planner_->term != seat_->term())) {
             GroupPlannerOptions options;
             options.lossTimeout = lossTimeout();
             options.stallTimeout = settings_.stallTimeout;
+            options.stalledLossTimeout = settings_.heartbeat * 11 / 8;
             options.gatherTime = settings_.heartbeat * 3 / 2;
             planner_ = makeGroupPlanner(options, seat_->term(), now);
         }
@@ -718,6 +725,11 @@
     if (!config)
         return;
     planner_->hasTraffic = hasTraffic_;
+    planner_->sequences.clear();
+    for (const auto &[pointer, link] : accepted_) {
+        for (const auto &[model, count] : link->hello.sequences)
+            planner_->sequences[model] += count;
+    }
     for (GroupOrder &order : planGroups(*planner_, table_, *config, now)) {
         logEvent(Event::GroupOrdered, {{"order", toString(order.kind)},
                                        {"endpoint", order.endpoint},
@@ -772,7 +784,7 @@
                                     {"group", order.group},
                                     {"status", std::to_string(answer.status)},
                                     {"error", answer.error}});
-    if (!planner_ || planner_->fencingToken != order.fencingToken)
+    if (!planner_ || planner_->term != order.term)
         co_return;
     noteOrderOutcome(*planner_, order.endpoint, order.number, outcome);
     nextPlan_ = TimePoint{};
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -31,6 +31,8 @@
 constexpr auto StopMargin = std::chrono::milliseconds(500); // before the bound of a planned stop
 constexpr auto LeastStopTime = std::chrono::milliseconds(4500); // until callers know of the stop
 constexpr auto ProgressRetention = std::chrono::seconds(2); // of signs of endpoints
+constexpr auto StallRetention = std::chrono::milliseconds(1000);
+constexpr auto LeastHelloInterval = std::chrono::milliseconds(100);
 constexpr std::size_t ChannelCapacity = 256 * 1024;
 constexpr std::size_t LinkCapacity = 4 * 1024 * 1024;
 constexpr std::size_t MaxDatagram = 32 * 1024;
@@ -115,6 +117,9 @@
                                    asio::detached);
                 });
     lastTick_ = RuntimeClock::now();
+    state_.reportStall = [this] {
+        nextHello_ = std::min(nextHello_, RuntimeClock::now() + LeastHelloInterval);
+    };
     tick();
     logEvent(Event::Started, {{"role", "entry"}, {"address", state_.settings.callerListen}});
 }
@@ -163,6 +168,8 @@
                 takeProgress(state_.placement.table, id, endpoint->report.startedAtMs, now - at,
                              now);
         }
+        std::erase_if(state_.stalledAt,
+                      [now](const auto &item) { return now - item.second > StallRetention; });
         std::erase_if(state_.progressAt,
                       [now](const auto &item) { return now - item.second > ProgressRetention; });
         requestConfiguration();
@@ -317,6 +324,11 @@
                     {id, endpoint->report.startedAtMs,
                      static_cast<std::uint32_t>((now - at) / std::chrono::milliseconds(1))});
     }
+    for (const auto &[id, at] : state_.stalledAt) {
+        if (now - at < StallRetention)
+            hello.stalled.push_back(id);
+    }
+    hello.sequences = state_.sequences;
     for (const auto &[address, control] : controls_) {
         for (const KnownNode &node : control.nodes) {
             if (!control.link || node.leadsInTerm <= hello.leaderTerm)
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -2,6 +2,8 @@
 
 #include "libcoord/codec.h"
 
+#include <cereal/types/map.hpp>
+
 namespace Trefoil {
 
 template <class Archive>
@@ -27,7 +29,7 @@
 void serialize(Archive &archive, LinkHello &h)
 {
     archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.process, h.seat,
-            h.isReady, h.requests, h.progress, h.leaderTerm, h.leaderAddress);
+            h.isReady, h.requests, h.progress, h.stalled, h.sequences, h.leaderTerm, h.leaderAddress);
 }
 
 template <class Archive>
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -3,6 +3,7 @@
 #include "libcoord/coord.h"
 #include "libfleet/fleet.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -35,6 +36,8 @@
         std::uint32_t ageMs = 0;
     };
     std::vector<Progress> progress;
+    std::vector<EndpointId> stalled; // heads without progress for their requests
+    std::map<std::string, double> sequences; // requests in progress, by model
 
     // The latest leader that this node knows of; entries carry it between parted control VMs.
     Term leaderTerm = 0;
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -22,9 +22,9 @@
 constexpr auto BodyTimeout = std::chrono::seconds(10);
 constexpr auto DrainIdleTime = std::chrono::seconds(3);  // idle connections stay open this long
 constexpr auto DrainAcceptTime = std::chrono::seconds(4); // requests are taken this long
-constexpr auto EventGapLimit = std::chrono::milliseconds(800);   // then the group stands still
-constexpr auto FirstEventLimit = std::chrono::milliseconds(1200); // at least, for the first event
-constexpr double FirstEventFactor = 3; // of the predicted time
+constexpr auto EventGapLimit = std::chrono::milliseconds(450);  // then the group stands still
+constexpr auto FirstEventLimit = std::chrono::milliseconds(600); // at least, for the first event
+constexpr double FirstEventFactor = 2.5; // of the predicted time
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
 constexpr std::size_t MaxAnswerBody = 32 * 1024 * 1024;
@@ -448,6 +448,8 @@
             return;
         case AttemptEnd::Stalled:
             ejectEndpoint(state_.placement, placement.endpoint, now);
+            state_.stalledAt[placement.endpoint] = now;
+            state_.reportStall();
             logEvent(Event::EndpointEjected, {{"endpoint", placement.endpoint},
                                               {"id", request.id},
                                               {"reason", progress.lastReason}});
@@ -620,6 +622,7 @@
         }
         EndpointLoad load{1, request.size.promptTokens, request.size.answerTokens};
         addLoad(state_.placement, placement.endpoint, load);
+        state_.sequences[request.model] += 1;
         connection->channel->setListener(&signal_);
         ++progress.sends;
         const bool mayHaveRunBefore = progress.mayHaveRun;
@@ -641,6 +644,7 @@
         else
             state_.pool.put(std::move(*connection), RuntimeClock::now());
         removeLoad(state_.placement, placement.endpoint, load);
+        state_.sequences[request.model] -= 1;
         co_return end;
     }
 
--- /dev/null
+++ b/tests/test_fleetdecisions.cpp
@@ -0,0 +1,304 @@
+#define BOOST_TEST_MODULE fleetdecisions
+#include "libfleet/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace Trefoil {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+
+Route route(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    Route result;
+    result.name = name;
+    result.host = host;
+    result.pathPrefix = prefix;
+    result.timeout = seconds(1);
+    result.split = {{"bookings", 1}};
+    return result;
+}
+
+ServiceConfiguration configuration()
+{
+    ServiceConfiguration config;
+    config.version = 1;
+    config.services = {{"bookings", "/health", 100, std::nullopt}};
+    config.routes = {route("root", "a.example", "/"), route("desk", "a.example", "/desk/"),
+                     route("deep", "a.example", "/desk/deep/")};
+    config.workspaces = {{"haldar", {"k1", "k2"}, std::nullopt}, {"gursha", {"k3"}, 1}};
+    indexConfiguration(config);
+    return config;
+}
+
+EndpointReport report(const EndpointId &id, const std::string &address, std::uint64_t startedAt,
+                      std::uint64_t sequence)
+{
+    EndpointReport result;
+    result.id = id;
+    result.service = "bookings";
+    result.address = address;
+    result.domain = "d1";
+    result.slots = 6;
+    result.startedAtMs = startedAt;
+    result.sequence = sequence;
+    return result;
+}
+
+PlacementRequest bookingRequest(const ServiceConfiguration &config)
+{
+    PlacementRequest request;
+    request.config = &config;
+    request.route = &config.routes.front();
+    request.service = "bookings";
+    request.timeLeft = seconds(1);
+    request.targetLeft = milliseconds(100);
+    return request;
+}
+
+PlacementState twoEndpoints()
+{
+    PlacementState state;
+    state.domain = "d1";
+    takeReport(state.table, report("e1", "10.0.0.1:80", 1, 1), {}, Start);
+    takeReport(state.table, report("e2", "10.0.0.2:80", 1, 1), {}, Start);
+    return state;
+}
+
+std::string findingsOf(const ServiceConfiguration &config)
+{
+    std::string text;
+    for (const Finding &finding : validateConfiguration(config))
+        text += finding.message + "\n";
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_selects_the_route)
+{
+    const ServiceConfiguration config = configuration();
+    BOOST_CHECK_EQUAL(matchRoute(config, "a.example", "/desk/deep/x")->name, "deep");
+    BOOST_CHECK_EQUAL(matchRoute(config, "A.EXAMPLE:8080", "/desk/x")->name, "desk");
+    BOOST_CHECK_EQUAL(matchRoute(config, "a.example", "/desk")->name, "root");
+    BOOST_CHECK(matchRoute(config, "b.example", "/desk/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(invalid_configurations_are_found)
+{
+    BOOST_CHECK_EQUAL(findingsOf(configuration()), "");
+    struct Case
+    {
+        const char *expected;
+        void (*spoil)(ServiceConfiguration &);
+    };
+    const Case cases[] = {
+            {"unknown service", [](auto &c) { c.routes[0].split = {{"nobody", 1}}; }},
+            {"same host", [](auto &c) { c.routes[1].pathPrefix = "/"; }},
+            {"add up to 0", [](auto &c) { c.routes[0].split[0].weight = 0; }},
+            {"timeout", [](auto &c) { c.routes[0].timeout = Duration::zero(); }},
+            {"share a key", [](auto &c) { c.workspaces[1].keys.push_back("k1"); }},
+            {"no service", [](auto &c) { c.routes[0].split.clear(); }},
+            {"slash", [](auto &c) { c.routes[0].pathPrefix = "desk"; }},
+    };
+    for (const Case &item : cases) {
+        ServiceConfiguration config = configuration();
+        item.spoil(config);
+        indexConfiguration(config);
+        BOOST_CHECK_MESSAGE(findingsOf(config).find(item.expected) != std::string::npos,
+                            item.expected << " not in: " << findingsOf(config));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(services_are_picked_by_weight)
+{
+    Route split = route("split", "a.example", "/");
+    split.split = {{"a", 90}, {"b", 10}, {"c", 0}};
+    BOOST_CHECK_EQUAL(pickService(split, 0.0), "a");
+    BOOST_CHECK_EQUAL(pickService(split, 0.89), "a");
+    BOOST_CHECK_EQUAL(pickService(split, 0.91), "b");
+    BOOST_CHECK_EQUAL(pickService(split, 0.9999999999), "b");
+}
+
+BOOST_AUTO_TEST_CASE(late_reports_of_earlier_lives_change_nothing)
+{
+    EndpointTable table;
+    BOOST_CHECK(takeReport(table, report("e1", "10.0.0.1:80", 5, 3), {}, Start)
+                == ReportOutcome::Changed);
+    BOOST_CHECK(takeReport(table, report("e1", "10.0.0.1:80", 5, 2), {}, Start)
+                == ReportOutcome::Stale);
+    BOOST_CHECK(takeReport(table, report("e1", "10.0.0.1:80", 4, 9), {}, Start)
+                == ReportOutcome::Stale);
+    // A later endpoint at the address ends the first; its delayed report does not bring it back.
+    takeReport(table, report("e2", "10.0.0.1:80", 6, 1), {}, Start);
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
+    takeReport(table, report("e1", "10.0.0.1:80", 5, 4), {}, Start);
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
+    BOOST_CHECK(isUsable(*findEndpoint(table, "e2"), seconds(3), Start));
+    // The same for an earlier endpoint that is heard of only now.
+    takeReport(table, report("e0", "10.0.0.1:80", 2, 1), {}, Start);
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e0"), seconds(3), Start));
+}
+
+BOOST_AUTO_TEST_CASE(a_departure_holds_for_the_life_that_it_names)
+{
+    EndpointTable table;
+    takeReport(table, report("e1", "10.0.0.1:80", 5, 3), {}, Start);
+    BOOST_CHECK(!takeDeparture(table, "e1", 4, Start));
+    BOOST_CHECK(takeDeparture(table, "e1", 5, Start));
+    takeReport(table, report("e1", "10.0.0.1:80", 5, 4), {}, Start);
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
+    takeReport(table, report("e1", "10.0.0.1:80", 7, 1), {}, Start);
+    BOOST_CHECK(isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
+}
+
+BOOST_AUTO_TEST_CASE(progress_of_a_head_is_a_sign_of_its_whole_group)
+{
+    EndpointTable table;
+    for (std::uint32_t rank = 0; rank < 2; ++rank) {
+        EndpointReport member = report("e" + std::to_string(rank), "10.0.0." + std::to_string(rank),
+                                       1, 1);
+        member.membership = GroupMembership{"m.1", 1, rank, MembershipPhase::Open};
+        takeReport(table, member, {}, Start);
+    }
+    takeProgress(table, "e0", 1, milliseconds(100), Start + seconds(5));
+    for (const char *id : {"e0", "e1"})
+        BOOST_CHECK(isUsable(*findEndpoint(table, id), seconds(3), Start + seconds(7)));
+    takeProgress(table, "e0", 0, {}, Start + seconds(9)); // of another life
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e0"), seconds(3), Start + seconds(9)));
+}
+
+BOOST_AUTO_TEST_CASE(placement_prefers_the_emptier_endpoint_and_counts_other_entries)
+{
+    const ServiceConfiguration config = configuration();
+    PlacementState state = twoEndpoints();
+    PeerLoads peer;
+    peer.heardAt = Start;
+    peer.loads["e1"] = {12, 0, 0};
+    state.peers["other"] = peer;
+    for (int i = 0; i < 20; ++i)
+        BOOST_CHECK_EQUAL(placeRequest(state, bookingRequest(config), Start).endpoint, "e2");
+    // Old news of another entry does not count.
+    addLoad(state, "e2", {12, 0, 0});
+    const TimePoint later = Start + seconds(2);
+    for (int i = 0; i < 20; ++i)
+        BOOST_CHECK_EQUAL(placeRequest(state, bookingRequest(config), later).endpoint, "e1");
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_fails_often_is_left_out_for_a_while)
+{
+    const ServiceConfiguration config = configuration();
+    PlacementState state = twoEndpoints();
+    for (int i = 0; i < 5; ++i)
+        noteAttempt(state, "e1", EndpointResult::Failed, {}, Start);
+    for (int i = 0; i < 20; ++i)
+        BOOST_CHECK_EQUAL(placeRequest(state, bookingRequest(config), Start).endpoint, "e2");
+    PlacementRequest second = bookingRequest(config);
+    second.tried.insert("e2");
+    BOOST_CHECK(placeRequest(state, second, Start).verdict == PlacementVerdict::NoEndpoint);
+    BOOST_CHECK(placeRequest(state, second, Start + milliseconds(1100)).verdict
+                == PlacementVerdict::Send);
+}
+
+// Load: more waits at every endpoint than can be answered before the caller gives up.
+BOOST_AUTO_TEST_CASE(what_cannot_be_served_in_time_is_refused_with_a_time_to_come_back)
+{
+    const ServiceConfiguration config = configuration();
+    PlacementState state = twoEndpoints();
+    addLoad(state, "e1", {600, 0, 0});
+    addLoad(state, "e2", {600, 0, 0});
+    const Placement placement = placeRequest(state, bookingRequest(config), Start);
+    BOOST_CHECK(placement.verdict == PlacementVerdict::Overloaded);
+    BOOST_CHECK_GT(placement.retryAfter.count(), 0);
+    BOOST_CHECK_LE(placement.retryAfter.count(), Duration(seconds(1)).count() / 3);
+}
+
+BOOST_AUTO_TEST_CASE(loads_are_given_back)
+{
+    PlacementState state = twoEndpoints();
+    addLoad(state, "e1", {1, 500, 100});
+    removeLoad(state, "e1", {0, 500, 0});
+    BOOST_CHECK_EQUAL(totalLoad(state, "e1", Start).unreadPromptTokens, 0);
+    BOOST_CHECK_EQUAL(totalLoad(state, "e1", Start).sequences, 1);
+    removeLoad(state, "e1", {1, 0, 100});
+    BOOST_CHECK(state.ownLoads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(repeats_keep_to_the_budget_in_each_window)
+{
+    WindowedBudget budget;
+    budget.options.ratio = 0.2;
+    budget.options.allowance = 100;
+    budget.options.window = seconds(10);
+    budget.options.safety = 1;
+    for (int i = 0; i < 100; ++i)
+        noteRequest(budget, Start);
+    int granted = 0;
+    while (tryRepeat(budget, 10, Start))
+        ++granted;
+    BOOST_CHECK_EQUAL(granted, 30); // a fifth of 100 requests and a tenth of the allowance
+    BOOST_CHECK(!tryRepeat(budget, 10, Start + seconds(8)));
+    BOOST_CHECK(tryRepeat(budget, 10, Start + seconds(11)));
+}
+
+BOOST_AUTO_TEST_CASE(the_engine_model_slows_with_load)
+{
+    EngineProfile engine;
+    engine.slots = 26;
+    engine.stride = 5;
+    engine.stepMs = 6.07;
+    engine.stepMsPerSequence = 0.241;
+    engine.promptTokensPerSecond = 46'000;
+    engine.usualPromptTokens = 1076;
+    engine.usualAnswerTokens = 116;
+    const ModelProfile model{"m", 4, 1, 1, {}, {}};
+    BOOST_CHECK_CLOSE(passMs(engine, model, 10), 5 * (6.07 + 2.41), 1);
+    BOOST_CHECK_CLOSE(readMs(engine, model, 4600), 100, 5);
+    const RequestSize size{1000, 100};
+    const TimingEstimate idle = estimateTiming(engine, model, {}, size);
+    const TimingEstimate busy = estimateTiming(engine, model, {20, 4000, 2000}, size);
+    const TimingEstimate full = estimateTiming(engine, model, {40, 8000, 4000}, size);
+    BOOST_CHECK_LT(idle.firstEvent.count(), busy.firstEvent.count());
+    BOOST_CHECK_LT(busy.firstEvent.count(), full.firstEvent.count());
+    BOOST_CHECK_LT(idle.eventGap.count(), busy.eventGap.count());
+}
+
+BOOST_AUTO_TEST_CASE(seats_are_planned_one_change_at_a_time)
+{
+    const SeatSet three = {{1, "a:1", true}, {2, "b:1", true}, {3, "c:1", true}};
+    const std::vector<SeatContact> fresh = {{2, Start}, {3, Start}};
+    const std::vector<SeatCandidate> same = {{1, "a:1", "d1"}, {2, "b:1", "d2"}, {3, "c:1", "d3"}};
+    SeatPlanOptions options;
+    BOOST_CHECK(!planSeats(three, 1, fresh, same, options, Start));
+
+    // A wiped disk comes back at its address with another identity.
+    const std::vector<SeatCandidate> wiped = {{1, "a:1", "d1"}, {9, "b:1", "d2"}, {3, "c:1", "d3"}};
+    BOOST_CHECK_EQUAL(planSeats(three, 1, fresh, wiped, options, Start)->size(), 2);
+
+    // A silent seat is kept until there is a successor.
+    const TimePoint later = Start + seconds(10);
+    const std::vector<SeatContact> silent = {{2, Start}, {3, later}};
+    const std::vector<SeatCandidate> without = {{1, "a:1", "d1"}, {3, "c:1", "d3"}};
+    BOOST_CHECK(!planSeats(three, 1, silent, without, options, later));
+    const std::vector<SeatCandidate> successor = {
+            {1, "a:1", "d1"}, {3, "c:1", "d3"}, {4, "e:1", "d2"}};
+    const auto shrunk = planSeats(three, 1, silent, successor, options, later);
+    BOOST_REQUIRE(shrunk);
+    BOOST_CHECK_EQUAL(shrunk->size(), 2);
+    const auto grown = planSeats(*shrunk, 1, silent, successor, options, later);
+    BOOST_REQUIRE(grown);
+    BOOST_CHECK_EQUAL(grown->back().id, 4);
+    BOOST_CHECK(!grown->back().voter);
+
+    // Seats grow to the number that the tolerated losses ask for, spread over failure domains.
+    options.seats = 5;
+    const std::vector<SeatCandidate> many = {{1, "a:1", "d1"}, {2, "b:1", "d2"}, {3, "c:1", "d3"},
+                                             {4, "a:2", "d1"}, {5, "x:1", "d4"}};
+    BOOST_CHECK_EQUAL(planSeats(three, 1, fresh, many, options, Start)->back().id, 5);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,269 @@
+#define BOOST_TEST_MODULE platform
+#include "libfleet/fleet.h"
+#include "libgateway/eventstream.h"
+#include "libgateway/gatewaysettings.h"
+#include "libgateway/httpmessage.h"
+#include "libgateway/linkmessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+// The translations at the system's borders, with messages as the platform's pages show them.
+
+namespace Trefoil {
+
+namespace {
+
+const Dialect &dialect()
+{
+    return *findDialect("platform");
+}
+
+constexpr const char *Document = R"({"version":7,"routes":[{"name":"r1","host":"ficu95.example",
+"path-prefix":"/lohu930/","kind":"streaming","timeout-ms":8000,"target-latency-ms":500,"priority":1,
+"traffic-split":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],"attempts":2,
+"public":false,"sticky":true,"stream-resume":true,"gap-aim-ms":300},{"name":"r2",
+"host":"ficu95.example","path-prefix":"/pufi791/","kind":"idempotent","timeout-ms":6000,
+"service":"wuno96b","attempts":2}],"services":[{"name":"huvo11a","health-path":"/health",
+"max-connections":394,"engine":{"slots":26,"kv-tokens":1400000,"stride":5,"models":[{"name":"m4",
+"size":4,"share":0.67,"pace":1.0,"load-s":16.0,"warm-s":1.6}],"step_ms":6.07,"read_per_s":46000.0,
+"usual":{"prompt":1076,"answer":116}}},{"name":"wuno96b","health-path":"/health"}],"limits":
+{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+"tenants":[{"name":"hule930","keys":["k1"],"priority":1}]})";
+
+constexpr const char *Heartbeat =
+        R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"bole","version":"v1","slots":26,
+"state":"ready","cold-remaining-ms":0,"stage":"hybrid","models":[{"name":"m4","version":1}],
+"sequence":4,"born":1780000000000,"domain":"f1","staged":["m4"],
+"group":{"name":"m4.7","epoch":7,"rank":1,"state":"ready"}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_translated)
+{
+    const DecodedConfiguration decoded = dialect().decodeConfiguration(Document);
+    BOOST_REQUIRE(decoded.config);
+    const ServiceConfiguration &config = *decoded.config;
+    BOOST_CHECK_EQUAL(config.version, 7);
+    BOOST_CHECK(config.requiresKeys);
+    BOOST_CHECK(config.routes[0].kind == RouteKind::Stream);
+    BOOST_CHECK(config.routes[0].isResumable);
+    BOOST_CHECK_EQUAL(config.routes[0].split.size(), 2);
+    BOOST_CHECK(config.routes[1].kind == RouteKind::Idempotent);
+    BOOST_CHECK_EQUAL(config.routes[1].split[0].service, "wuno96b");
+    BOOST_CHECK_EQUAL(config.services[0].engine->models[0].vmsPerGroup, 4);
+    BOOST_CHECK_EQUAL(findWorkspace(config, "k1")->name, "hule930");
+}
+
+BOOST_AUTO_TEST_CASE(broken_configurations_are_refused_with_findings)
+{
+    const std::string text = Document;
+    const std::string cases[] = {
+            text.substr(0, text.size() / 2),
+            "[]",
+            replaced(text, "\"version\":7", "\"version\":\"7\""),
+            replaced(text, "\"version\":7", "\"version\":-7"),
+            replaced(text, "\"timeout-ms\":8000", "\"timeout-ms\":0"),
+            replaced(text, "\"service\":\"wuno96b\",\"attempts\"", "\"service\":\"x\",\"attempts\""),
+            replaced(text, "/pufi791/", "/lohu930/"),
+            replaced(replaced(text, "\"weight\":90", "\"weight\":0"), "\"weight\":10",
+                     "\"weight\":0"),
+    };
+    for (const std::string &broken : cases) {
+        const DecodedConfiguration decoded = dialect().decodeConfiguration(broken);
+        BOOST_CHECK(!decoded.config);
+        BOOST_CHECK(!decoded.findings.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_translated)
+{
+    const auto decoded = dialect().decodeHeartbeat("i-1", Heartbeat);
+    BOOST_REQUIRE(std::holds_alternative<EndpointReport>(decoded));
+    const auto &report = std::get<EndpointReport>(decoded);
+    BOOST_CHECK_EQUAL(report.id, "i-1");
+    BOOST_CHECK_EQUAL(report.fabric, "f1");
+    BOOST_CHECK_EQUAL(report.domain, "bole");
+    BOOST_CHECK_EQUAL(report.startedAtMs, 1780000000000);
+    BOOST_CHECK_EQUAL(report.membership->group, "m4.7");
+    BOOST_CHECK(report.membership->phase == MembershipPhase::Ready);
+}
+
+BOOST_AUTO_TEST_CASE(heartbeats_of_other_writers_name_no_endpoint)
+{
+    const std::string text = Heartbeat;
+    const std::string cases[] = {
+            "\xff\xfe not JSON",
+            "[1]",
+            replaced(text, "\"service\":\"huvo11a\",", ""),
+            replaced(text, "\"sequence\":4", "\"sequence\":\"4\""),
+            replaced(text, "\"state\":\"ready\",\"cold", "\"state\":\"asleep\",\"cold"),
+            replaced(text, "\"address\":\"10.128.0.9:8080\"", "\"address\":17"),
+    };
+    for (const std::string &broken : cases)
+        BOOST_CHECK(std::holds_alternative<std::string>(dialect().decodeHeartbeat("i-1", broken)));
+}
+
+BOOST_AUTO_TEST_CASE(calls_are_recognized)
+{
+    BOOST_CHECK(dialect().parseCall("GET", "/trefoilrun/readiness").kind == CallKind::Readiness);
+    const SystemCall list = dialect().parseCall(
+            "GET", "/trefoilrun/resolution?name=a.example&region=addis&zone=bole%20x");
+    BOOST_CHECK(list.kind == CallKind::EntryList);
+    BOOST_CHECK_EQUAL(list.domain, "bole x");
+    const SystemCall beat =
+            dialect().parseCall("POST", "/trefoilrun/instances/i-7f3a91c2/heartbeat");
+    BOOST_CHECK(beat.kind == CallKind::Heartbeat);
+    BOOST_CHECK_EQUAL(beat.endpoint, "i-7f3a91c2");
+    BOOST_CHECK(dialect().parseCall("GET", "/trefoilrun/instances/i-1/heartbeat").kind
+                == CallKind::Unknown);
+    BOOST_CHECK(dialect().parseCall("POST", "/trefoilrun/instances/i-1").kind == CallKind::Unknown);
+}
+
+BOOST_AUTO_TEST_CASE(orders_are_translated)
+{
+    GroupOrder order;
+    order.kind = OrderKind::Join;
+    order.group = "m4.12";
+    order.epoch = 12;
+    order.fencingToken = 3;
+    order.model = "m4";
+    order.members = {"i-1", "i-2"};
+    BOOST_CHECK_EQUAL(dialect().encodeOrder(order),
+                      R"({"operation":"join","group":"m4.12","epoch":12,"model":"m4",)"
+                      R"("members":["i-1","i-2"],"fencing-token":3})");
+    order.kind = OrderKind::Close;
+    order.closeMode = CloseMode::CutRequests;
+    BOOST_CHECK_EQUAL(dialect().encodeOrder(order),
+                      R"({"operation":"close","group":"m4.12","epoch":12,"mode":"cutover",)"
+                      R"("fencing-token":3})");
+}
+
+BOOST_AUTO_TEST_CASE(entry_lists_have_a_lifetime)
+{
+    const std::vector<std::string> addresses = {"10.1.0.40:8227"};
+    BOOST_CHECK_EQUAL(dialect().encodeEntryList(addresses, std::chrono::seconds(2)),
+                      R"({"addresses":["10.1.0.40:8227"],"ttl-s":2})");
+}
+
+// ---- HTTP messages
+
+BOOST_AUTO_TEST_CASE(requests_are_parsed_from_any_pieces)
+{
+    const std::string text = "POST /a/b?c=d HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+                             "X-Own: Value \r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        HttpParser parser(HttpMessageKind::Request, 1024, 1024);
+        std::string input;
+        for (std::size_t at = 0; at < text.size(); at += piece) {
+            input += text.substr(at, piece);
+            BOOST_REQUIRE(parser.consume(input));
+        }
+        BOOST_REQUIRE(parser.isDone());
+        BOOST_CHECK_EQUAL(parser.head().target, "/a/b?c=d");
+        BOOST_CHECK_EQUAL(parser.takeBody(), "abcde");
+        BOOST_CHECK_EQUAL(*findField(parser.head(), "x-own"), "Value");
+        BOOST_CHECK_EQUAL(input, "GET"); // the next request stays
+    }
+}
+
+BOOST_AUTO_TEST_CASE(bad_requests_have_their_error)
+{
+    struct Case
+    {
+        std::string text;
+        HttpParseError error;
+    };
+    const Case cases[] = {
+            {"nonsense\r\n\r\n", HttpParseError::Malformed},
+            {"GET / HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n",
+             HttpParseError::HeaderTooLarge},
+            {"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", HttpParseError::BodyTooLarge},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", HttpParseError::Malformed},
+            {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+             HttpParseError::Malformed},
+            {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n",
+             HttpParseError::Malformed},
+    };
+    for (const Case &item : cases) {
+        HttpParser parser(HttpMessageKind::Request, 1024, 1024);
+        std::string input = item.text;
+        BOOST_CHECK(!parser.consume(input));
+        BOOST_CHECK_MESSAGE(parser.error() == item.error, item.text.substr(0, 60));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_length_is_whole_only_after_an_orderly_end)
+{
+    HttpParser parser(HttpMessageKind::Response, 1024, 1024);
+    std::string input = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc";
+    BOOST_CHECK(parser.consume(input));
+    BOOST_CHECK(!parser.isDone());
+    parser.finishInput();
+    BOOST_CHECK(parser.isDone());
+    HttpParser cut(HttpMessageKind::Response, 1024, 1024);
+    input = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+    cut.consume(input);
+    cut.finishInput();
+    BOOST_CHECK(!cut.isDone());
+}
+
+BOOST_AUTO_TEST_CASE(fields_of_one_connection_are_not_passed_on)
+{
+    HttpHead head;
+    head.fields = {{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X-Own", "2"}};
+    BOOST_CHECK(isHopByHop(head, "x-private"));
+    BOOST_CHECK(isHopByHop(head, "Transfer-Encoding"));
+    BOOST_CHECK(!isHopByHop(head, "X-Own"));
+}
+
+// ---- Events
+
+BOOST_AUTO_TEST_CASE(only_whole_and_new_events_are_passed_on)
+{
+    EventFilter filter;
+    BOOST_CHECK_EQUAL(takeEvents(filter, "id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    BOOST_CHECK_EQUAL(takeEvents(filter, "ta: b\n\n"), "id: 2\ndata: b\n\n");
+    // Another endpoint goes on and repeats an event that the caller has.
+    filter.pending.clear();
+    BOOST_CHECK_EQUAL(takeEvents(filter, "id: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n"),
+                      "id: 3\r\ndata: c\r\n\r\n");
+    BOOST_CHECK_EQUAL(*filter.lastEvent, 3);
+    BOOST_CHECK_EQUAL(countEvents("id: 1\n\nid: 2\n\nid: 3\n"), 2);
+}
+
+// ---- Links and settings
+
+BOOST_AUTO_TEST_CASE(link_messages_keep_their_content)
+{
+    EndpointNews news;
+    news.items.push_back({std::get<EndpointReport>(dialect().decodeHeartbeat("i-1", Heartbeat)),
+                          250, true});
+    news.signs.push_back({"i-2", 5, 100});
+    const LinkMessage message = decodeLinkMessage(encodeLinkMessage(news));
+    const auto &read = std::get<EndpointNews>(message);
+    BOOST_CHECK(read.items[0].report == news.items[0].report);
+    BOOST_CHECK(read.items[0].hasLeft);
+    BOOST_CHECK_EQUAL(read.signs[0].ageMs, 100);
+    BOOST_CHECK_THROW(decodeLinkMessage("garbage"), std::exception);
+}
+
+BOOST_AUTO_TEST_CASE(settings_report_each_fault_with_its_place)
+{
+    const std::string good = "node:\n  name: e1\n  region: r\n  domain: d\n  address: 10.0.0.1\n"
+                             "  internal_port: 7000\n  seeds: [\"10.0.0.2:80\"]\n"
+                             "  dialect: platform\nlisten:\n  callers: 10.0.0.1:80\nlimits:\n  retry_ratio: 0.2\n";
+    BOOST_CHECK(readGatewaySettings(good, "f").findings.empty());
+    const std::string bad = replaced(replaced(good, "7000", "x"), "retry_ratio", "retry_ratoi");
+    const auto findings = readGatewaySettings(bad, "f").findings;
+    BOOST_REQUIRE_EQUAL(findings.size(), 2);
+    BOOST_CHECK_EQUAL(findings[0].line, 6);
+    BOOST_CHECK(findings[1].message.find("did you mean 'retry_ratio'") != std::string::npos);
+}
+
+} // namespace Trefoil
