libfleet: a busy model is formed out of the reserve, but not out of balance

Cause: any model over half of its slots took the survivors of larger groups, which then never formed again.

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -497,9 +497,7 @@
     if (!chosen)
         return nullptr;
     const bool balanced = chosenShare <= lowest * planning.planner.options.balanceTolerance;
-    const bool isBusy =
-            utilization(planning, service, *chosen) > planning.planner.options.busyAt;
-    return (balanced || isBusy) && mayForm(planning, service, *chosen) ? chosen : nullptr;
+    return balanced && mayForm(planning, service, *chosen) ? chosen : nullptr;
 }
 
 // VMs that join fastest first: the model staged, then nothing staged; then by failure domain.
