--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -142,7 +142,7 @@
                                  && endpoint->report.membership->group == item.second.group;
         const bool isVisible = (item.second.kind == OrderKind::Join && isMemberNow)
                                || (item.second.kind == OrderKind::Leave && !isMemberNow);
-        return isVisible || planning.now - item.second.sentAt > timeout;
+        return (isVisible && item.second.isAccepted) || planning.now - item.second.sentAt > timeout;
     });
 }
 
@@ -273,6 +273,20 @@
     return false;
 }
 
+// Repeats the join to each member of an adopted group, so that late orders of earlier leaders are
+// refused before the group opens. Returns true once all have obeyed.
+bool fenceMembers(Planning &planning, const FleetGroup &group)
+{
+    bool isDone = true;
+    for (const EndpointId &id : group.members) {
+        if (group.fenced.contains(id))
+            continue;
+        isDone = false;
+        order(planning, *planning.usable(id), group, OrderKind::Join, "fences earlier leaders");
+    }
+    return isDone;
+}
+
 void advanceGroup(Planning &planning, FleetGroup &group, const EngineProfile &engine, bool &isOver)
 {
     const EndpointId *missing = missingMember(planning, group);
@@ -304,7 +318,8 @@
         if (group.stage == GroupStage::Opening)
             setStage(group, GroupStage::Open, planning.now);
     } else if (phase == MembershipPhase::Ready) {
-        orderHead(planning, group, head, OrderKind::Open, "all members are ready");
+        if (!group.isAdopted || fenceMembers(planning, group))
+            orderHead(planning, group, head, OrderKind::Open, "all members are ready");
     } else if (phase == MembershipPhase::Broken) {
         isOver = true;
     }
@@ -398,6 +413,7 @@
             group.members.insert(group.members.begin(), headOfGroup(*reported.membership));
         group.stageSince = planning.now;
         group.unansweredOpens = 1;
+        group.isAdopted = true;
         group.closeMode = CloseMode::CutRequests;
         const Service *service = findService(planning.config, group.service);
         const ModelProfile *model =
@@ -673,9 +689,13 @@
     if (outcome == OrderOutcome::Accepted && kind == OrderKind::Leave
         && planned != planner.groups.end())
         planned->second.left.insert(endpoint);
+    if (outcome == OrderOutcome::Accepted && kind == OrderKind::Join
+        && planned != planner.groups.end())
+        planned->second.fenced.insert(endpoint);
     // The next report shows an accepted join or leave; until then no other order follows it.
     const bool isPending = outcome == OrderOutcome::Accepted
                            && (kind == OrderKind::Join || kind == OrderKind::Leave);
+    found->second.isAccepted = isPending;
     if (isPending || !isAnswered)
         return;
     planner.orders.erase(found);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -56,6 +56,8 @@
     TimePoint stageSince{};
     CloseMode closeMode = CloseMode::FinishRequests;
     TimePoint lastHeadOrder{}; // last order to the head after it joined
+    bool isAdopted = false;             // formed by an earlier leader
+    std::set<EndpointId> fenced;        // members of an adopted group that obeyed this leader
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
     std::set<EndpointId> left; // members that have taken a leave order
     TimePoint abandonedSince{}; // all known members have left a head that is silent
@@ -67,7 +69,8 @@
     OrderKind kind = OrderKind::Join;
     std::string group;
     TimePoint sentAt{};
-    bool isLoad = false; // starts a load from the weight store
+    bool isLoad = false;     // starts a load from the weight store
+    bool isAccepted = false; // obeyed; the next report shows it
 };
 
 struct Staging
@@ -88,7 +91,7 @@
     Duration gatherTime = std::chrono::milliseconds(1800); // of a new leader, over a heartbeat
     Duration stalledLossTimeout = std::chrono::milliseconds(1650); // of a VM whose group stalls
     Duration stallMemory = std::chrono::milliseconds(1500); // a reported stall counts this long
-    double reserve = 0.0;      // part of the VMs kept as spares while no model needs them
+    double reserve = 0.2;      // part of the VMs kept as spares while no model needs them
     double busyAt = 0.5;       // part of a model's slots in use from which it may use the reserve
     std::uint32_t initialConcurrentLoads = 48; // before the first request
 };
