libfleet: VMs in doubt stay out of new groups; an open order counts until its effect shows

(2) Groups formed from VMs without the model's weights while others that hold them became free 0.1 s later. (3) A forming group began its loads again after a change of leader.

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -142,7 +142,8 @@
                                  && endpoint->report.membership->group == item.second.group;
         const bool isVisible = (item.second.kind == OrderKind::Join && isMemberNow)
                                || (item.second.kind == OrderKind::Leave && !isMemberNow);
-        return (isVisible && item.second.isAccepted) || planning.now - item.second.sentAt > timeout;
+        const bool isOverdue = planning.now - item.second.sentAt > timeout;
+        return (isVisible && item.second.isAccepted) || isOverdue;
     });
 }
 
@@ -164,7 +165,8 @@
         if (!endpoint)
             return &id;
         const Duration silence = planning.now - endpoint->lastReport;
-        if (stalled && silence > planning.planner.options.stalledLossTimeout)
+        const bool isDoubtful = stalled || group.stage == GroupStage::Forming;
+        if (isDoubtful && silence > planning.planner.options.stalledLossTimeout)
             return &id;
         const bool joined = group.stage == GroupStage::Forming || isMember(*endpoint, group);
         if (!joined)
@@ -201,8 +203,15 @@
         group.lastHeadOrder = planning.now;
 }
 
+// Keeps a VM out of new groups until it reports again.
+void suspect(GroupPlanner &planner, const EndpointId &id, TimePoint now)
+{
+    planner.suspects[id] = now;
+}
+
 void startClosing(Planning &planning, FleetGroup &group, const EndpointId &missing)
 {
+    suspect(planning.planner, missing, planning.now);
     const bool planned = planning.heard(missing) != nullptr
                          && (planning.heard(missing)->report.isDraining
                              || planning.heard(missing)->hasLeft);
@@ -253,15 +262,17 @@
     if (!head)
         return group.members.size() == 1 || abandonHead(planning, group);
     group.abandonedSince = TimePoint{};
+    if (head->report.membership->phase == MembershipPhase::Open)
+        group.isOpening = false;
     switch (head->report.membership->phase) {
     case MembershipPhase::Joining:
     case MembershipPhase::Broken:
         return true;
     case MembershipPhase::Ready:
-        if (group.unansweredOpens == 0)
+        if (group.unansweredOpens == 0 && !group.isOpening)
             return true;
-        // A late open order must not find the head in the group any more.
-        orderHead(planning, group, *head, OrderKind::Leave, "an open order is unanswered");
+        // An open order that takes effect late must not find the head in the group any more.
+        orderHead(planning, group, *head, OrderKind::Leave, "an open order may take effect late");
         return false;
     case MembershipPhase::Open:
     case MembershipPhase::Closing:
@@ -296,6 +307,8 @@
             startClosing(planning, group, *missing);
             return;
         }
+        if (missing)
+            suspect(planning.planner, *missing, planning.now);
         isOver = missing != nullptr
                  || planning.now - group.stageSince > planning.planner.options.formingTimeout;
         if (!isOver)
@@ -315,6 +328,7 @@
     const Endpoint &head = *planning.usable(group.members.front());
     const MembershipPhase phase = head.report.membership->phase;
     if (phase == MembershipPhase::Open) {
+        group.isOpening = false;
         if (group.stage == GroupStage::Opening)
             setStage(group, GroupStage::Open, planning.now);
     } else if (phase == MembershipPhase::Ready) {
@@ -404,8 +418,6 @@
     addLateMembers(planning);
     const bool isGathering = planning.now < planning.planner.gatherUntil;
     for (auto &[name, reported] : unknownGroups(planning)) {
-        if (!reported.isHeard || !reported.wasReady)
-            continue;
         FleetGroup &group = reported.group;
         for (const auto &[rank, id] : reported.ranks)
             group.members.push_back(id);
@@ -420,12 +432,16 @@
                 service && service->engine ? findModel(*service->engine, group.model) : nullptr;
         const bool complete = reported.isHeadHeard && model
                               && reported.ranks.size() == model->vmsPerGroup;
-        if (!complete && isGathering)
+        if (!reported.isHeard || (!complete && isGathering))
             continue; // the others may report within a heartbeat
+        if (!complete && !reported.wasReady)
+            continue; // it was never opened
+        const bool isForming = reported.headPhase == MembershipPhase::Ready
+                               || reported.headPhase == MembershipPhase::Joining;
         if (complete && reported.headPhase == MembershipPhase::Open)
             group.stage = GroupStage::Open;
-        else if (complete && reported.headPhase == MembershipPhase::Ready)
-            group.stage = GroupStage::Forming; // a member may not be ready yet
+        else if (complete && isForming)
+            group.stage = GroupStage::Forming; // loads that are under way go on
         else
             group.stage = GroupStage::Closing;
         if (reported.isHeadHeard && reported.headPhase == MembershipPhase::Broken)
@@ -440,6 +456,8 @@
     const auto &membership = endpoint.report.membership;
     if (membership && planning.now < planner.gatherUntil)
         return false;
+    if (planner.suspects.contains(endpoint.report.id))
+        return false;
     const bool inPlan =
             std::any_of(planner.groups.begin(), planner.groups.end(), [&](const auto &item) {
                 const auto &members = item.second.members;
@@ -459,14 +477,16 @@
 {
     double vms = 0;
     for (const auto &[name, group] : planning.planner.groups) {
+        const bool mayReturn =
+                planning.now - group.stageSince < planning.planner.options.repairTime;
         if (group.service == service && group.model == model.name
-            && group.stage != GroupStage::Closing)
+            && (group.stage != GroupStage::Closing || mayReturn))
             vms += model.vmsPerGroup;
     }
     return vms / std::max(model.share, 1e-3);
 }
 
-// Part of the slots of a model's groups that is in use.
+// Part of the slots of a model's groups that is in use, 1 when it has none.
 double utilization(const Planning &planning, const Service &service, const ModelProfile &model)
 {
     double slots = 0;
@@ -475,24 +495,12 @@
             && group.stage == GroupStage::Open)
             slots += service.engine->slots;
     }
+    if (slots == 0)
+        return 1;
     const auto sequences = planning.planner.sequences.find(model.name);
     if (sequences == planning.planner.sequences.end())
         return 0;
-    return sequences->second / std::max(slots, 1.0);
-}
-
-// True when forming the group leaves the reserve of spare VMs, or the model needs it.
-bool mayForm(const Planning &planning, const Service &service, const ModelProfile &model)
-{
-    double usable = 0;
-    double inGroups = 0;
-    for (const auto &[id, endpoint] : planning.table.endpoints)
-        usable += endpoint.report.service == service.name && planning.usable(id) ? 1 : 0;
-    for (const auto &[name, group] : planning.planner.groups)
-        inGroups += group.service == service.name ? static_cast<double>(group.members.size()) : 0;
-    const double limit = usable * (1 - planning.planner.options.reserve);
-    return inGroups + model.vmsPerGroup <= limit
-           || utilization(planning, service, model) > planning.planner.options.busyAt;
+    return sequences->second / slots;
 }
 
 // The neediest model that fits, unless a model that does not fit is much needier.
@@ -513,7 +521,7 @@
     if (!chosen)
         return nullptr;
     const bool balanced = chosenShare <= lowest * planning.planner.options.balanceTolerance;
-    return balanced && mayForm(planning, service, *chosen) ? chosen : nullptr;
+    return balanced ? chosen : nullptr;
 }
 
 // VMs that join fastest first: the model staged, then nothing staged; then by failure domain.
@@ -546,36 +554,46 @@
     joinMembers(planning, added, *service.engine);
 }
 
-// The model that spares of a fabric should hold next: of the models that serve there the one with
-// the fewest spares, larger groups first.
+// Spares that hold or load a model.
+double stagedSpares(const Planning &planning, const std::vector<const Endpoint *> &spares,
+                    const std::string &model)
+{
+    return static_cast<double>(
+            std::count_if(spares.begin(), spares.end(), [&](const Endpoint *spare) {
+                const auto staging = planning.planner.staging.find(spare->report.id);
+                const bool isStaging = staging != planning.planner.staging.end()
+                                       && staging->second.model == model;
+                return isStaging || hasStaged(*spare, model);
+            }));
+}
+
+// The model that spares of a fabric should hold next: the largest of which they can make a whole
+// group, else of the models that serve there the one with the fewest spares.
 const ModelProfile *modelToStage(const Planning &planning, const Service &service,
                                  const std::string &fabric,
                                  const std::vector<const Endpoint *> &spares)
 {
+    const ModelProfile *whole = nullptr;
     const ModelProfile *chosen = nullptr;
     double fewest = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models) {
+        const double staged = stagedSpares(planning, spares, model.name);
+        const bool fits = spares.size() >= model.vmsPerGroup && staged < model.vmsPerGroup;
+        if (fits && (!whole || whole->vmsPerGroup < model.vmsPerGroup))
+            whole = &model;
         const bool serves = std::any_of(
                 planning.planner.groups.begin(), planning.planner.groups.end(),
                 [&](const auto &item) {
                     return item.second.fabric == fabric && item.second.model == model.name;
                 });
-        if (!serves)
-            continue;
-        double staged = 0;
-        for (const Endpoint *spare : spares) {
-            const auto staging = planning.planner.staging.find(spare->report.id);
-            const bool isStaging = staging != planning.planner.staging.end()
-                                   && staging->second.model == model.name;
-            staged += isStaging || hasStaged(*spare, model.name) ? 1 : 0;
-        }
         const double relative = staged / model.vmsPerGroup;
-        if (relative < fewest) {
+        if (serves && relative < fewest) {
             fewest = relative;
             chosen = &model;
         }
     }
-    return chosen;
+    const bool isLarge = whole && whole->vmsPerGroup > 1 && spares.size() >= whole->vmsPerGroup;
+    return isLarge ? whole : chosen;
 }
 
 // Loads models onto spare VMs that hold none, so that a later repair is fast.
@@ -597,35 +615,57 @@
     }
 }
 
+struct GroupPlace
+{
+    const ModelProfile *model = nullptr;
+    std::string fabric;
+};
+
+using FreeVms = std::map<std::string, std::vector<const Endpoint *>>;
+
+// Where the next group forms: the place of the model that chooseModel names that needs the fewest
+// loads, and of these the one with the most free VMs, so that large groups find theirs.
+std::optional<GroupPlace> bestPlace(const Planning &planning, const Service &service,
+                                    const FreeVms &freeByFabric)
+{
+    std::optional<GroupPlace> best;
+    std::pair<std::size_t, std::size_t> bestRank;
+    for (const auto &[fabric, free] : freeByFabric) {
+        const ModelProfile *model = chooseModel(planning, service, free.size());
+        if (!model)
+            continue;
+        const auto staged = static_cast<std::size_t>(
+                std::count_if(free.begin(), free.end(), [model](const Endpoint *vm) {
+                    return hasStaged(*vm, model->name);
+                }));
+        const std::size_t loads = model->vmsPerGroup - std::min<std::size_t>(
+                                          model->vmsPerGroup, staged);
+        const bool mayLoad = !planning.planner.hasTraffic
+                             || utilization(planning, service, *model)
+                                        > planning.planner.options.loadAt;
+        const std::pair rank(loads, std::numeric_limits<std::size_t>::max() - free.size());
+        if ((loads > 0 && !mayLoad) || (best && rank >= bestRank))
+            continue;
+        best = GroupPlace{model, fabric};
+        bestRank = rank;
+    }
+    return best;
+}
+
 void formGroups(Planning &planning, const Service &service)
 {
-    std::map<std::string, std::vector<const Endpoint *>> freeByFabric;
+    // Before the first request all VMs are gathered first, so that the groups are spread well.
+    if (!planning.planner.hasTraffic && planning.now < planning.planner.gatherUntil)
+        return;
+    FreeVms freeByFabric;
     for (const auto &[id, endpoint] : planning.table.endpoints) {
         const bool candidate = endpoint.report.service == service.name
                                && planning.usable(id) && isFree(planning, endpoint);
         if (candidate)
             freeByFabric[endpoint.report.fabric].push_back(&endpoint);
     }
-    // Fabrics with the most free VMs first, so that large groups find their place.
-    std::vector<std::string> fabrics;
-    for (const auto &[fabric, free] : freeByFabric)
-        fabrics.push_back(fabric);
-    bool formed = true;
-    while (formed) {
-        formed = false;
-        std::stable_sort(fabrics.begin(), fabrics.end(), [&](const auto &a, const auto &b) {
-            return freeByFabric[a].size() > freeByFabric[b].size();
-        });
-        for (const std::string &fabric : fabrics) {
-            auto &free = freeByFabric[fabric];
-            const ModelProfile *model = chooseModel(planning, service, free.size());
-            if (!model)
-                continue;
-            formGroup(planning, service, *model, fabric, free);
-            formed = true;
-            break;
-        }
-    }
+    while (const auto place = bestPlace(planning, service, freeByFabric))
+        formGroup(planning, service, *place->model, place->fabric, freeByFabric[place->fabric]);
     for (const auto &[fabric, free] : freeByFabric)
         stageSpares(planning, service, fabric, free);
 }
@@ -647,6 +687,10 @@
 {
     Planning planning{planner, table, config, now, {}};
     dropOverdueOrders(planning);
+    std::erase_if(planner.suspects, [&table](const auto &item) {
+        const Endpoint *endpoint = findEndpoint(table, item.first);
+        return !endpoint || endpoint->lastReport > item.second;
+    });
     std::erase_if(planner.staging, [now](const auto &item) { return item.second.until <= now; });
     std::erase_if(planner.stalledHeads, [&](const auto &item) {
         return now - item.second > planner.options.stallMemory;
@@ -682,9 +726,14 @@
         return;
     const auto planned = planner.groups.find(found->second.group);
     const bool isAnswered = outcome != OrderOutcome::Unanswered;
+    if (!isAnswered)
+        suspect(planner, endpoint, found->second.sentAt);
     if (isAnswered && found->second.kind == OrderKind::Open && planned != planner.groups.end()
-        && planned->second.unansweredOpens > 0)
+        && planned->second.unansweredOpens > 0) {
         --planned->second.unansweredOpens;
+        // The head opens a little later; until its report shows it, it counts as opening.
+        planned->second.isOpening = outcome == OrderOutcome::Accepted;
+    }
     const OrderKind kind = found->second.kind;
     if (outcome == OrderOutcome::Accepted && kind == OrderKind::Leave
         && planned != planner.groups.end())
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -58,6 +58,7 @@
     TimePoint lastHeadOrder{}; // last order to the head after it joined
     bool isAdopted = false;             // formed by an earlier leader
     std::set<EndpointId> fenced;        // members of an adopted group that obeyed this leader
+    bool isOpening = false; // an open order was obeyed and its effect is not reported yet
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
     std::set<EndpointId> left; // members that have taken a leave order
     TimePoint abandonedSince{}; // all known members have left a head that is silent
@@ -91,8 +92,8 @@
     Duration gatherTime = std::chrono::milliseconds(1800); // of a new leader, over a heartbeat
     Duration stalledLossTimeout = std::chrono::milliseconds(1650); // of a VM whose group stalls
     Duration stallMemory = std::chrono::milliseconds(1500); // a reported stall counts this long
-    double reserve = 0.2;      // part of the VMs kept as spares while no model needs them
-    double busyAt = 0.5;       // part of a model's slots in use from which it may use the reserve
+    double loadAt = 0.35;      // part of a model's slots in use from which weights are loaded for it
+    Duration repairTime = std::chrono::milliseconds(1500); // a closing group counts as serving
     std::uint32_t initialConcurrentLoads = 48; // before the first request
 };
 
@@ -109,6 +110,7 @@
     std::map<std::string, FleetGroup> groups;
     std::map<EndpointId, SentGroupOrder> orders;
     std::set<std::string> ended; // groups that are over although members still report them
+    std::map<EndpointId, TimePoint> suspects; // VMs in doubt until they report again
     std::map<EndpointId, Staging> staging; // spare VMs that load a model ahead
     std::deque<TimePoint> loadStarts;
 };
