--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -95,6 +95,7 @@
 {
     if (estimate.firstEvent > request.timeLeft)
         return true;
+    // What is late already is worth serving while its caller waits: a second refusal helps nobody.
     if (request.isResumption || request.targetLeft <= Duration::zero())
         return false;
     return toMs(estimate.firstEvent) > toMs(request.targetLeft) * state.options.lateTolerance;
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -103,24 +103,16 @@
     linkListener_ = std::make_unique<ChannelListener>(
             context_, internalAddress_, ChannelCapacity,
             [this](ChannelPointer channel) { accepted(std::move(channel)); });
-    const auto serve = [this](auto handler) {
-        return [this, handler](ChannelPointer channel) {
-            asio::co_spawn(
-                    context_,
-                    serveConnection(std::move(channel), ServerLimits{},
-                                    [this, handler](ServerRequest request) {
-                                        return (this->*handler)(std::move(request));
-                                    }),
-                    asio::detached);
-        };
+    const auto serve = [this](const std::string &address, auto handler) {
+        return serveHttp(context_, address, [this, handler](ServerRequest request) {
+            return (this->*handler)(std::move(request));
+        });
     };
-    controlListener_ =
-            std::make_unique<ChannelListener>(context_, settings_.controlListen, ChannelCapacity,
-                                              serve(&ControlProcess::handleControl));
+    controlListener_ = serve(settings_.controlListen, &ControlProcess::handleControl);
     if (!settings_.entryListListen.empty())
-        entryListListener_ = std::make_unique<ChannelListener>(
-                context_, settings_.entryListListen, ChannelCapacity,
-                serve(&ControlProcess::handleEntryList));
+        entryListListener_ = serve(settings_.entryListListen, &ControlProcess::handleEntryList);
+    if (!settings_.metricsListen.empty())
+        metricsListener_ = serve(settings_.metricsListen, &ControlProcess::handleMetrics);
     reload(settings_);
     tick();
     logEvent(Event::Started, {{"role", "control"}, {"address", internalAddress_}});
@@ -532,11 +524,16 @@
     default:
         break;
     }
-    if (request.head.method == "GET" && request.head.target == "/metrics")
-        co_return metrics();
     co_return failure(404, "no such call");
 }
 
+asio::awaitable<ServerResponse> ControlProcess::handleMetrics(ServerRequest request)
+{
+    if (request.head.target != MetricsPath)
+        co_return failure(404, "metrics are at /metrics");
+    co_return metrics();
+}
+
 asio::awaitable<ServerResponse> ControlProcess::handleEntryList(ServerRequest request)
 {
     const SystemCall call = dialect_.parseCall(request.head.method, request.head.target);
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -72,6 +72,7 @@
 
     // Operators and callers.
     boost::asio::awaitable<ServerResponse> handleControl(ServerRequest request);
+    boost::asio::awaitable<ServerResponse> handleMetrics(ServerRequest request);
     boost::asio::awaitable<ServerResponse> handleEntryList(ServerRequest request);
     boost::asio::awaitable<ServerResponse> publish(ServerRequest request);
     ServerResponse readConfiguration(const ServerRequest &request);
@@ -96,6 +97,7 @@
     std::unique_ptr<ChannelListener> linkListener_;
     std::unique_ptr<ChannelListener> controlListener_;
     std::unique_ptr<ChannelListener> entryListListener_;
+    std::unique_ptr<ChannelListener> metricsListener_;
     RuntimeTimer tickTimer_;
     RuntimeTimer newsTimer_;
 
--- a/src/libgateway/endpointpool.cpp
+++ b/src/libgateway/endpointpool.cpp
@@ -1,5 +1,7 @@
 #include "libgateway/endpointpool.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 
 #include <algorithm>
@@ -14,6 +16,7 @@
 constexpr auto DefaultIdleLifetime = std::chrono::seconds(10);
 constexpr auto KeepAliveMargin = std::chrono::milliseconds(400); // for the way to the endpoint
 constexpr std::size_t AnswerCapacity = 256 * 1024;
+constexpr std::size_t ServerCapacity = 1024 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
 constexpr std::size_t ConnectionCapacity = 64 * 1024;
 constexpr std::size_t MaxIdlePerEndpoint = 64;
@@ -192,6 +195,17 @@
     co_return answer;
 }
 
+std::unique_ptr<ChannelListener> serveHttp(asio::io_context &context, const std::string &address,
+                                           ServerHandler handler)
+{
+    return std::make_unique<ChannelListener>(
+            context, address, ServerCapacity, [&context, handler](ChannelPointer channel) {
+                asio::co_spawn(context,
+                               serveConnection(std::move(channel), ServerLimits{}, handler),
+                               asio::detached);
+            });
+}
+
 asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
                                       ServerHandler handler)
 {
--- a/src/libgateway/endpointpool.h
+++ b/src/libgateway/endpointpool.h
@@ -83,6 +83,8 @@
 
 using ServerHandler = std::function<boost::asio::awaitable<ServerResponse>(ServerRequest)>;
 
+constexpr std::string_view MetricsPath = "/metrics";
+
 struct ServerLimits
 {
     std::size_t maxHeaderBytes = 16 * 1024;
@@ -91,6 +93,11 @@
     Duration idleTimeout = std::chrono::seconds(30);
 };
 
+// Accepts connections on the address and answers their requests with the handler. Throws when it
+// cannot listen.
+std::unique_ptr<ChannelListener> serveHttp(boost::asio::io_context &context,
+                                           const std::string &address, ServerHandler handler);
+
 // Answers the requests of one connection until it ends.
 boost::asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
                                              ServerHandler handler);
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -106,16 +106,16 @@
                                asio::detached);
             });
     if (!state_.settings.readinessListen.empty())
-        readinessListener_ = std::make_unique<ChannelListener>(
-                context_, state_.settings.readinessListen, ChannelCapacity,
-                [this](ChannelPointer channel) {
-                    asio::co_spawn(context_,
-                                   serveConnection(std::move(channel), ServerLimits{},
-                                                   [this](ServerRequest request) {
-                                                       return handleReadiness(std::move(request));
-                                                   }),
-                                   asio::detached);
-                });
+        readinessListener_ =
+                serveHttp(context_, state_.settings.readinessListen,
+                          [this](ServerRequest request) {
+                              return handleReadiness(std::move(request));
+                          });
+    if (!state_.settings.metricsListen.empty())
+        metricsListener_ = serveHttp(context_, state_.settings.metricsListen,
+                                     [this](ServerRequest request) {
+                                         return handleMetrics(std::move(request));
+                                     });
     lastTick_ = RuntimeClock::now();
     state_.reportStall = [this] {
         nextHello_ = std::min(nextHello_, RuntimeClock::now() + LeastHelloInterval);
@@ -435,23 +435,41 @@
     return state_.config && !state_.isDraining;
 }
 
-asio::awaitable<ServerResponse> EntryProcess::handleReadiness(ServerRequest request)
+asio::awaitable<ServerResponse> EntryProcess::handleMetrics(ServerRequest request)
 {
     ServerResponse response;
-    if (request.head.target == "/metrics") {
-        state_.metrics.setGauge("trefoil_active_requests", "",
-                                static_cast<double>(state_.activeRequests));
-        state_.metrics.setGauge("trefoil_sessions", "",
-                                static_cast<double>(state_.sessionSignals.size()));
-        state_.metrics.setGauge("trefoil_idle_endpoint_connections", "",
-                                static_cast<double>(state_.pool.size()));
-        state_.metrics.setGauge("trefoil_entries", "", static_cast<double>(state_.entries));
-        state_.metrics.setGauge("trefoil_configuration_version", "",
-                                state_.config ? static_cast<double>(state_.config->version) : 0);
-        response.contentType = "text/plain; version=0.0.4";
-        response.body = state_.metrics.prometheusText();
+    if (request.head.target != MetricsPath) {
+        response.status = 404;
+        response.body = state_.dialect.encodeError("metrics are at /metrics");
         co_return response;
     }
+    const TimePoint now = RuntimeClock::now();
+    Metrics &metrics = state_.metrics;
+    std::size_t usable = 0;
+    for (const auto &[id, endpoint] : state_.placement.table.endpoints)
+        usable += isUsable(endpoint, state_.placement.options.silence, now) ? 1 : 0;
+    std::size_t links = 0;
+    for (const auto &[address, control] : controls_)
+        links += control.link ? 1 : 0;
+    const auto set = [&metrics](const std::string &name, double value) {
+        metrics.setGauge("trefoil_" + name, "", value);
+    };
+    set("active_requests", static_cast<double>(state_.activeRequests));
+    set("sessions", static_cast<double>(state_.sessionSignals.size()));
+    set("idle_endpoint_connections", static_cast<double>(state_.pool.size()));
+    set("entries", static_cast<double>(state_.entries));
+    set("control_links", static_cast<double>(links));
+    set("endpoints_usable", static_cast<double>(usable));
+    set("configuration_version",
+        state_.config ? static_cast<double>(state_.config->version) : 0);
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = metrics.prometheusText();
+    co_return response;
+}
+
+asio::awaitable<ServerResponse> EntryProcess::handleReadiness(ServerRequest request)
+{
+    ServerResponse response;
     const SystemCall call = state_.dialect.parseCall(request.head.method, request.head.target);
     if (call.kind != CallKind::Readiness) {
         response.status = 404;
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -83,6 +83,7 @@
     void refreshPeers();
 
     bool isReady() const;
+    boost::asio::awaitable<ServerResponse> handleMetrics(ServerRequest request);
     boost::asio::awaitable<ServerResponse> handleReadiness(ServerRequest request);
     void checkStopped();
 
@@ -92,6 +93,7 @@
     std::uint64_t process_;
     std::unique_ptr<ChannelListener> callerListener_;
     std::unique_ptr<ChannelListener> readinessListener_;
+    std::unique_ptr<ChannelListener> metricsListener_;
     boost::asio::ip::udp::socket digests_;
     RuntimeTimer tickTimer_;
     std::map<std::string, ControlLink> controls_;
--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -45,6 +45,7 @@
             {"readiness", address(settings.readinessListen)},
             {"control", address(settings.controlListen)},
             {"entry_list", address(settings.entryListListen)},
+            {"metrics", address(settings.metricsListen)},
     };
 }
 
--- a/src/libgateway/gatewaysettings.h
+++ b/src/libgateway/gatewaysettings.h
@@ -24,6 +24,7 @@
     std::string readinessListen;
     std::string controlListen;
     std::string entryListListen;
+    std::string metricsListen;
     std::string dataFolder;
 
     std::uint32_t toleratedLosses = 1; // control VMs that may be lost at once
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
 constexpr std::size_t MaxAnswerBody = 32 * 1024 * 1024;
+constexpr std::uint32_t LowestRank = 4; // ranks below it are treated alike by engines
 constexpr auto UnknownRetryAfter = std::chrono::milliseconds(500);
 
 struct RelayRequest
@@ -594,6 +595,8 @@
                                        Duration(std::chrono::milliseconds(1)));
         head.fields.push_back({names.timeLeft, msText(left)});
         head.fields.push_back({names.expectEndpoint, placement.endpoint});
+        if (request.route->kind == RouteKind::Stream)
+            head.fields.push_back({names.priority, std::to_string(enginePriority(request))});
         if (request.workspace)
             head.fields.push_back({names.workspace, request.workspace->name});
         if (isResumption && progress.events.lastEvent)
@@ -605,6 +608,17 @@
         return toText(head) + request.body;
     }
 
+    // Engines admit lower values first: by the rank of the workspace or the route, and at the same
+    // rank requests that can still be on time before those that are late already.
+    static std::uint32_t enginePriority(const RelayRequest &request)
+    {
+        const std::uint32_t rank = request.workspace && request.workspace->priority
+                                           ? *request.workspace->priority
+                                           : request.route->priority;
+        const bool isLate = RuntimeClock::now() >= request.targetUntil;
+        return 2 * std::min(rank, LowestRank) + (isLate ? 1 : 0);
+    }
+
     asio::awaitable<AttemptEnd> attempt(RelayRequest &request, Progress &progress,
                                         const Placement &placement)
     {
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -217,6 +217,19 @@
     BOOST_CHECK_LE(placement.retryAfter.count(), Duration(seconds(1)).count() / 3);
 }
 
+// Load: a burst; what is late already is not refused again while it can be served.
+BOOST_AUTO_TEST_CASE(late_requests_are_served_rather_than_refused_again)
+{
+    const ServiceConfiguration config = configuration();
+    PlacementState state = twoEndpoints();
+    addLoad(state, "e1", {60, 0, 0});
+    addLoad(state, "e2", {60, 0, 0});
+    PlacementRequest request = bookingRequest(config);
+    BOOST_CHECK(placeRequest(state, request, Start).verdict == PlacementVerdict::Overloaded);
+    request.targetLeft = milliseconds(-50);
+    BOOST_CHECK(placeRequest(state, request, Start).verdict == PlacementVerdict::Send);
+}
+
 BOOST_AUTO_TEST_CASE(loads_are_given_back)
 {
     PlacementState state = twoEndpoints();
