libgateway: reports of unknown services are acknowledged and not used; planning at most 40 times a second

A report of a service that no configuration names may come from another writer; it could have replaced the endpoint at its address.

--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
 constexpr auto PlanInterval = std::chrono::milliseconds(100);
+constexpr auto LeastPlanInterval = std::chrono::milliseconds(25);
 constexpr auto NewsDelay = std::chrono::milliseconds(5); // gathers changes into one message
 constexpr auto SignInterval = std::chrono::milliseconds(500);
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
@@ -408,13 +409,21 @@
         return failure(400, *error);
     }
     const auto &report = std::get<EndpointReport>(decoded);
+    ServerResponse response;
+    response.body = dialect_.encodeHeartbeatReply(reportAddress());
+    // A report of a service that no configuration names is acknowledged and not used: it may come
+    // from another writer and must not replace the endpoint at its address.
+    const ServiceConfiguration *config = configuration();
+    if (!config || !findService(*config, report.service)) {
+        logEvent(Event::EndpointReportInvalid,
+                 {{"endpoint", call.endpoint}, {"error", "unknown service " + report.service}});
+        return response;
+    }
     const ReportOutcome outcome = takeReport(table_, report, Duration::zero(), RuntimeClock::now());
     if (outcome == ReportOutcome::Changed)
         noteChanged(report.id);
     else if (outcome == ReportOutcome::Refreshed)
         noteSign(report.id);
-    ServerResponse response;
-    response.body = dialect_.encodeHeartbeatReply(reportAddress());
     return response;
 }
 
@@ -714,9 +723,10 @@
             planner_ = makeGroupPlanner(options, seat_->term(), now);
         }
     }
-    if (!leads || now < nextPlan_)
+    if (!leads || now < std::max(nextPlan_, lastPlan_ + LeastPlanInterval))
         return;
     nextPlan_ = now + PlanInterval;
+    lastPlan_ = now;
     manageSeats(now);
     const ServiceConfiguration *config = configuration();
     if (!config)
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -111,6 +111,7 @@
     TimePoint nextSigns_{};
     TimePoint nextHello_{};
     TimePoint nextPlan_{};
+    TimePoint lastPlan_{};
     std::uint64_t offeredVersion_ = 0;
 
     std::uint64_t decodedVersion_ = 0;
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -37,6 +37,22 @@
     bool isAnswered = true;
 };
 
+struct DelayedAnswer
+{
+    TimePoint at{};
+    std::uint64_t term = 0;
+    EndpointId endpoint;
+    std::uint64_t number = 0;
+    OrderOutcome outcome = OrderOutcome::Unanswered;
+};
+
+struct DelayedReport
+{
+    TimePoint at{};
+    TimePoint madeAt{};
+    EndpointReport report;
+};
+
 struct EngineFleet
 {
     ServiceConfiguration config;
@@ -50,6 +66,9 @@
     std::vector<std::string> broken; // promises
     TimePoint now{};
     std::mt19937_64 rng;
+    std::vector<DelayedAnswer> answers;
+    std::vector<DelayedReport> reports;
+    double slowShare = 0; // of the answers and reports that come up to 2 s late
     double lateShare = 0; // of the orders that get no answer and are carried out late
     std::uint64_t nextLife = 1;
     Duration stall = std::chrono::seconds(6);
