--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -51,8 +51,8 @@
 struct Endpoint
 {
     EndpointReport report;
-    TimePoint lastHeard{};  // by a report or by progress of its group
-    TimePoint lastReport{}; // by a report of its own
+    TimePoint lastHeard{};    // by a report or by progress of its group
+    TimePoint lastReport{};   // by a report of its own
     bool hasLeft = false;     // said that it ends; it may still serve for a while
     bool isSucceeded = false; // a later endpoint has its address, so it has ended
 };
@@ -82,8 +82,8 @@
 void takeSign(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs, Duration age,
               TimePoint now);
 
-// Notes that the head of a group made progress `age` ago. A group makes none without all its VMs, so
-// this is a sign of each of them.
+// Notes that the head of a group made progress `age` ago. A group makes none without all its VMs,
+// so this is a sign of each of them.
 void takeProgress(EndpointTable &table, const EndpointId &head, std::uint64_t startedAtMs,
                   Duration age, TimePoint now);
 
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -39,8 +39,7 @@
     const Endpoint *usable(const EndpointId &id) const
     {
         const Endpoint *endpoint = findEndpoint(table, id);
-        const bool good =
-                endpoint && isUsable(*endpoint, planner.options.lossTimeout, now);
+        const bool good = endpoint && isUsable(*endpoint, planner.options.lossTimeout, now);
         return good ? endpoint : nullptr;
     }
 
@@ -99,7 +98,8 @@
         return loadsInProgress(planning) < planner.options.initialConcurrentLoads;
     while (!planner.loadStarts.empty() && planning.now - planner.loadStarts.front() > LoadWindow)
         planner.loadStarts.pop_front();
-    const double inWindow = engine.loadsPerSecond * std::chrono::duration<double>(LoadWindow).count();
+    const double inWindow =
+            engine.loadsPerSecond * std::chrono::duration<double>(LoadWindow).count();
     return static_cast<double>(planner.loadStarts.size()) + 1 <= inWindow
            && loadsInProgress(planning) < engine.concurrentLoads;
 }
@@ -212,9 +212,9 @@
 void startClosing(Planning &planning, FleetGroup &group, const EndpointId &missing)
 {
     suspect(planning.planner, missing, planning.now);
-    const bool planned = planning.heard(missing) != nullptr
-                         && (planning.heard(missing)->report.isDraining
-                             || planning.heard(missing)->hasLeft);
+    const bool planned =
+            planning.heard(missing) != nullptr
+            && (planning.heard(missing)->report.isDraining || planning.heard(missing)->hasLeft);
     group.closeMode = planned ? CloseMode::FinishRequests : CloseMode::CutRequests;
     setStage(group, GroupStage::Closing, planning.now);
 }
@@ -430,8 +430,8 @@
         const Service *service = findService(planning.config, group.service);
         const ModelProfile *model =
                 service && service->engine ? findModel(*service->engine, group.model) : nullptr;
-        const bool complete = reported.isHeadHeard && model
-                              && reported.ranks.size() == model->vmsPerGroup;
+        const bool complete =
+                reported.isHeadHeard && model && reported.ranks.size() == model->vmsPerGroup;
         if (!reported.isHeard || (!complete && isGathering))
             continue; // the others may report within a heartbeat
         if (!complete && !reported.wasReady)
@@ -529,8 +529,10 @@
 {
     const auto rank = [&model](const Endpoint *vm) {
         const bool staged = hasStaged(*vm, model);
-        return std::tuple(staged ? 0 : vm->report.stagedModels.empty() ? 1 : 2, vm->report.domain,
-                          vm->report.id);
+        return std::tuple(staged                            ? 0
+                          : vm->report.stagedModels.empty() ? 1
+                                                            : 2,
+                          vm->report.domain, vm->report.id);
     };
     std::sort(vms.begin(), vms.end(),
               [&rank](const Endpoint *a, const Endpoint *b) { return rank(a) < rank(b); });
@@ -561,8 +563,8 @@
     return static_cast<double>(
             std::count_if(spares.begin(), spares.end(), [&](const Endpoint *spare) {
                 const auto staging = planning.planner.staging.find(spare->report.id);
-                const bool isStaging = staging != planning.planner.staging.end()
-                                       && staging->second.model == model;
+                const bool isStaging =
+                        staging != planning.planner.staging.end() && staging->second.model == model;
                 return isStaging || hasStaged(*spare, model);
             }));
 }
@@ -581,11 +583,11 @@
         const bool fits = spares.size() >= model.vmsPerGroup && staged < model.vmsPerGroup;
         if (fits && (!whole || whole->vmsPerGroup < model.vmsPerGroup))
             whole = &model;
-        const bool serves = std::any_of(
-                planning.planner.groups.begin(), planning.planner.groups.end(),
-                [&](const auto &item) {
-                    return item.second.fabric == fabric && item.second.model == model.name;
-                });
+        const bool serves = std::any_of(planning.planner.groups.begin(),
+                                        planning.planner.groups.end(), [&](const auto &item) {
+                                            return item.second.fabric == fabric
+                                                   && item.second.model == model.name;
+                                        });
         const double relative = staged / model.vmsPerGroup;
         if (serves && relative < fewest) {
             fewest = relative;
@@ -635,14 +637,13 @@
         if (!model)
             continue;
         const auto staged = static_cast<std::size_t>(
-                std::count_if(free.begin(), free.end(), [model](const Endpoint *vm) {
-                    return hasStaged(*vm, model->name);
-                }));
-        const std::size_t loads = model->vmsPerGroup - std::min<std::size_t>(
-                                          model->vmsPerGroup, staged);
-        const bool mayLoad = !planning.planner.hasTraffic
-                             || utilization(planning, service, *model)
-                                        > planning.planner.options.loadAt;
+                std::count_if(free.begin(), free.end(),
+                              [model](const Endpoint *vm) { return hasStaged(*vm, model->name); }));
+        const std::size_t loads =
+                model->vmsPerGroup - std::min<std::size_t>(model->vmsPerGroup, staged);
+        const bool mayLoad =
+                !planning.planner.hasTraffic
+                || utilization(planning, service, *model) > planning.planner.options.loadAt;
         const std::pair rank(loads, std::numeric_limits<std::size_t>::max() - free.size());
         if ((loads > 0 && !mayLoad) || (best && rank >= bestRank))
             continue;
@@ -659,8 +660,8 @@
         return;
     FreeVms freeByFabric;
     for (const auto &[id, endpoint] : planning.table.endpoints) {
-        const bool candidate = endpoint.report.service == service.name
-                               && planning.usable(id) && isFree(planning, endpoint);
+        const bool candidate = endpoint.report.service == service.name && planning.usable(id)
+                               && isFree(planning, endpoint);
         if (candidate)
             freeByFabric[endpoint.report.fabric].push_back(&endpoint);
     }
@@ -749,8 +750,8 @@
         return;
     planner.orders.erase(found);
     const bool isLost = outcome == OrderOutcome::Outdated || outcome == OrderOutcome::WrongEndpoint;
-    const bool isForming = planned != planner.groups.end()
-                           && planned->second.stage == GroupStage::Forming;
+    const bool isForming =
+            planned != planner.groups.end() && planned->second.stage == GroupStage::Forming;
     if (isLost && isForming && planned->second.unansweredOpens == 0) {
         planner.ended.insert(planned->first);
         planner.groups.erase(planned);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -55,13 +55,13 @@
     GroupStage stage = GroupStage::Forming;
     TimePoint stageSince{};
     CloseMode closeMode = CloseMode::FinishRequests;
-    TimePoint lastHeadOrder{}; // last order to the head after it joined
-    bool isAdopted = false;             // formed by an earlier leader
-    std::set<EndpointId> fenced;        // members of an adopted group that obeyed this leader
-    bool isOpening = false; // an open order was obeyed and its effect is not reported yet
+    TimePoint lastHeadOrder{};   // last order to the head after it joined
+    bool isAdopted = false;      // formed by an earlier leader
+    std::set<EndpointId> fenced; // members of an adopted group that obeyed this leader
+    bool isOpening = false;      // an open order was obeyed and its effect is not reported yet
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
-    std::set<EndpointId> left; // members that have taken a leave order
-    TimePoint abandonedSince{}; // all known members have left a head that is silent
+    std::set<EndpointId> left;         // members that have taken a leave order
+    TimePoint abandonedSince{};        // all known members have left a head that is silent
 };
 
 struct SentGroupOrder
@@ -92,26 +92,26 @@
     Duration gatherTime = std::chrono::milliseconds(1800); // of a new leader, over a heartbeat
     Duration stalledLossTimeout = std::chrono::milliseconds(1650); // of a VM whose group stalls
     Duration stallMemory = std::chrono::milliseconds(1500); // a reported stall counts this long
-    double loadAt = 0.35;      // part of a model's slots in use from which weights are loaded for it
+    double loadAt = 0.35; // part of a model's slots in use from which weights are loaded for it
     Duration repairTime = std::chrono::milliseconds(1500); // a closing group counts as serving
-    std::uint32_t initialConcurrentLoads = 48; // before the first request
+    std::uint32_t initialConcurrentLoads = 48;             // before the first request
 };
 
 struct GroupPlanner
 {
     GroupPlannerOptions options;
-    std::uint64_t term = 0; // of the leader
-    std::uint64_t nextEpoch = 1;    // above all epochs of earlier leaders
+    std::uint64_t term = 0;      // of the leader
+    std::uint64_t nextEpoch = 1; // above all epochs of earlier leaders
     std::uint64_t nextOrder = 1;
     TimePoint gatherUntil{}; // until then VMs of unknown groups may not have reported yet
     bool hasTraffic = true;
-    std::map<std::string, double> sequences;         // in progress, by model, over all entries
-    std::map<EndpointId, TimePoint> stalledHeads;    // heads without progress, as entries report
+    std::map<std::string, double> sequences;      // in progress, by model, over all entries
+    std::map<EndpointId, TimePoint> stalledHeads; // heads without progress, as entries report
     std::map<std::string, FleetGroup> groups;
     std::map<EndpointId, SentGroupOrder> orders;
     std::set<std::string> ended; // groups that are over although members still report them
     std::map<EndpointId, TimePoint> suspects; // VMs in doubt until they report again
-    std::map<EndpointId, Staging> staging; // spare VMs that load a model ahead
+    std::map<EndpointId, Staging> staging;    // spare VMs that load a model ahead
     std::deque<TimePoint> loadStarts;
 };
 
@@ -129,8 +129,8 @@
 void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
                       OrderOutcome outcome);
 
-// Name of a group. Its model and its head can be read back from it, so that a later leader knows them
-// from the report of any member.
+// Name of a group. Its model and its head can be read back from it, so that a later leader knows
+// them from the report of any member.
 std::string groupName(const std::string &model, std::uint64_t epoch, const EndpointId &head);
 std::string modelOfGroup(const GroupMembership &membership);
 EndpointId headOfGroup(const GroupMembership &membership);
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -51,17 +51,16 @@
 const EndpointHealth *healthOf(const PlacementState &state, const Endpoint &endpoint)
 {
     const auto found = state.health.find(endpoint.report.id);
-    const bool same = found != state.health.end()
-                      && found->second.startedAtMs == endpoint.report.startedAtMs;
+    const bool same =
+            found != state.health.end() && found->second.startedAtMs == endpoint.report.startedAtMs;
     return same ? &found->second : nullptr;
 }
 
 TimingEstimate estimateService(const PlacementState &state, const Endpoint &endpoint, TimePoint now)
 {
     const EndpointHealth *health = healthOf(state, endpoint);
-    const Duration service = health && health->serviceTime > Duration::zero()
-                                     ? health->serviceTime
-                                     : DefaultServiceTime;
+    const Duration service = health && health->serviceTime > Duration::zero() ? health->serviceTime
+                                                                              : DefaultServiceTime;
     const GroupLoad load = totalLoad(state, endpoint.report.id, now);
     const double slots = std::max<double>(endpoint.report.slots, 1);
     const double waiting = std::max(0.0, load.sequences + 1 - slots) / slots;
@@ -86,8 +85,7 @@
 Duration retryAfter(const PlacementRequest &request, Duration firstEvent)
 {
     const Duration excess = firstEvent - std::max(request.targetLeft, Duration::zero());
-    return std::clamp(excess, MinimumRetryAfter,
-                      std::max(MinimumRetryAfter, request.timeLeft / 3));
+    return std::clamp(excess, MinimumRetryAfter, std::max(MinimumRetryAfter, request.timeLeft / 3));
 }
 
 bool isTooLate(const PlacementState &state, const PlacementRequest &request,
@@ -130,8 +128,7 @@
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now)
 {
     Placement placement;
-    const auto all =
-            candidates(state, *request.config, request.service, request.model, now);
+    const auto all = candidates(state, *request.config, request.service, request.model, now);
     placement.candidates = all.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
     std::uniform_real_distribution<double> spread(1.0, 1.0 + state.options.jitter);
@@ -252,8 +249,10 @@
     health.startedAtMs = known->report.startedAtMs;
     if (health.ejectedUntil > now)
         return;
-    const auto factor = static_cast<Duration::rep>(1) << std::min<std::uint32_t>(health.ejections, 3);
-    health.ejectedUntil = now + std::min(state.options.maxEjection, state.options.ejection * factor);
+    const auto factor = static_cast<Duration::rep>(1)
+                        << std::min<std::uint32_t>(health.ejections, 3);
+    health.ejectedUntil =
+            now + std::min(state.options.maxEjection, state.options.ejection * factor);
     health.failureRate = state.options.ejectAt / 2;
     ++health.ejections;
 }
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -43,7 +43,7 @@
     std::uint32_t samples = 0;
     std::uint32_t ejections = 0; // in a row, doubles the time of the next one
     TimePoint ejectedUntil{};
-    TimePoint fullUntil{}; // refused a request as full
+    TimePoint fullUntil{};  // refused a request as full
     Duration serviceTime{}; // decaying average of whole answers
 };
 
@@ -55,9 +55,9 @@
     Duration maxEjection = std::chrono::seconds(8);
     Duration fullPause = std::chrono::milliseconds(80);
     Duration sameDomainBonus = std::chrono::milliseconds(1);
-    double ejectAt = 0.35;        // failure rate
-    double lateTolerance = 1.0;   // refused when the first event is later than this many targets
-    double jitter = 0.08;         // relative random spread of the predicted times
+    double ejectAt = 0.35;      // failure rate
+    double lateTolerance = 1.0; // refused when the first event is later than this many targets
+    double jitter = 0.08;       // relative random spread of the predicted times
 };
 
 struct PlacementState
@@ -78,8 +78,8 @@
     std::string service;
     std::string model; // empty for plain services
     RequestSize size;
-    Duration timeLeft{};    // until the caller or the route gives up
-    Duration targetLeft{};  // until the answer is late
+    Duration timeLeft{};   // until the caller or the route gives up
+    Duration targetLeft{}; // until the answer is late
     std::set<EndpointId> tried;
     bool isResumption = false;
 };
--- a/src/libfleet/retrybudget.h
+++ b/src/libfleet/retrybudget.h
@@ -12,9 +12,9 @@
 
 struct WindowedBudgetOptions
 {
-    double ratio = 0.1;                          // repeats for each request
-    double allowance = 10;                       // repeats of all entries without any request
-    Duration window = std::chrono::seconds(10);  // over which both are counted
+    double ratio = 0.1;                         // repeats for each request
+    double allowance = 10;                      // repeats of all entries without any request
+    Duration window = std::chrono::seconds(10); // over which both are counted
     double safety = 0.7; // part of the budget that is used; other entries count differently
 };
 
--- a/src/libfleet/seatplan.cpp
+++ b/src/libfleet/seatplan.cpp
@@ -45,9 +45,9 @@
     }
     const SeatCandidate *best = nullptr;
     for (const SeatCandidate &candidate : candidates) {
-        const bool better = !holdsSeat(seats, candidate.seat)
-                            && (!best
-                                || seatsByDomain[candidate.domain] < seatsByDomain[best->domain]);
+        const bool better =
+                !holdsSeat(seats, candidate.seat)
+                && (!best || seatsByDomain[candidate.domain] < seatsByDomain[best->domain]);
         if (better)
             best = &candidate;
     }
--- a/src/libfleet/serviceconfiguration.cpp
+++ b/src/libfleet/serviceconfiguration.cpp
@@ -82,8 +82,9 @@
         validateRoute(config, route, findings);
         if (!places.emplace(toLower(route.host), route.pathPrefix).second)
             findings.push_back({"configuration", 0, 0,
-                                "route '" + route.name + "': another route has the same host and "
-                                "path prefix"});
+                                "route '" + route.name
+                                        + "': another route has the same host and "
+                                          "path prefix"});
     }
     std::map<std::string, std::string> owners;
     for (const WorkspaceKeys &workspace : config.workspaces) {
--- a/src/libgateway/channel.cpp
+++ b/src/libgateway/channel.cpp
@@ -107,8 +107,7 @@
         co_return false;
     // Most writes fit into the socket's buffer and need no timer.
     error_code error;
-    const std::size_t written =
-            socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    const std::size_t written = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
     const bool isFull = error == asio::error::would_block || error == asio::error::try_again;
     if (error && !isFull) {
         close();
@@ -122,9 +121,8 @@
         if (!cancelled)
             self->close();
     });
-    const auto [failure, count] =
-            co_await asio::async_write(socket_, asio::buffer(bytes.data(), bytes.size()),
-                                       asio::as_tuple(asio::use_awaitable));
+    const auto [failure, count] = co_await asio::async_write(
+            socket_, asio::buffer(bytes.data(), bytes.size()), asio::as_tuple(asio::use_awaitable));
     writeTimer_.cancel();
     if (failure)
         close();
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -578,8 +578,8 @@
         if (seat.id != leader || leader == seat_->id())
             continue;
         const auto peer = peers_.find(seat.entry);
-        const bool known = peer != peers_.end() && peer->second.link
-                           && !peer->second.publicAddress.empty();
+        const bool known =
+                peer != peers_.end() && peer->second.link && !peer->second.publicAddress.empty();
         if (!known)
             break;
         ServerResponse response;
@@ -713,7 +713,8 @@
         wasLeader_ = leads;
         logEvent(leads ? Event::LeaderElected : Event::LeaderLost,
                  {{"term", std::to_string(seat_->term())}});
-        // A leader that regains its lease in the same term goes on; its epochs must not begin again.
+        // A leader that regains its lease in the same term goes on; its epochs must not begin
+        // again.
         if (leads && (!planner_ || planner_->term != seat_->term())) {
             GroupPlannerOptions options;
             options.lossTimeout = lossTimeout();
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -101,11 +101,11 @@
     RuntimeTimer tickTimer_;
     RuntimeTimer newsTimer_;
 
-    std::map<std::string, Peer> peers_;              // links to other control VMs, by address
-    std::map<Link *, LinkPointer> accepted_;         // links from entries and control VMs
+    std::map<std::string, Peer> peers_;      // links to other control VMs, by address
+    std::map<Link *, LinkPointer> accepted_; // links from entries and control VMs
     Topology lastTopology_;
     EndpointTable table_;
-    std::set<EndpointId> changed_;                   // to be told to the subscribers
+    std::set<EndpointId> changed_; // to be told to the subscribers
     std::set<EndpointId> heard_;
     bool isNewsDue_ = false;
     TimePoint nextSigns_{};
--- a/src/libgateway/endpointpool.cpp
+++ b/src/libgateway/endpointpool.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t ServerCapacity = 1024 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
-constexpr std::size_t ConnectionCapacity = 64 * 1024;
 constexpr std::size_t MaxIdlePerEndpoint = 64;
 
 std::string requestText(const HttpCall &call)
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -30,14 +30,14 @@
 constexpr auto DigestIntervalPerPeer = std::chrono::milliseconds(10);
 constexpr auto StopMargin = std::chrono::milliseconds(500); // before the bound of a planned stop
 constexpr auto LeastStopTime = std::chrono::milliseconds(4500); // until callers know of the stop
-constexpr auto ProgressRetention = std::chrono::seconds(2); // of signs of endpoints
+constexpr auto ProgressRetention = std::chrono::seconds(2);     // of signs of endpoints
 constexpr auto StallRetention = std::chrono::milliseconds(1000);
 constexpr auto LeastHelloInterval = std::chrono::milliseconds(100);
 constexpr std::size_t ChannelCapacity = 256 * 1024;
 constexpr std::size_t LinkCapacity = 4 * 1024 * 1024;
 constexpr std::size_t MaxDatagram = 32 * 1024;
 constexpr std::size_t ReservedDescriptors = 260; // of files, links and listeners
-constexpr double SessionShare = 0.6; // of the descriptors, the rest is for endpoints
+constexpr double SessionShare = 0.6;             // of the descriptors, the rest is for endpoints
 
 PlacementState makePlacement(const GatewaySettings &settings)
 {
@@ -75,8 +75,7 @@
 EntryProcess::EntryProcess(asio::io_context &context, GatewaySettings settings)
     : context_(context)
     , state_(context, std::move(settings))
-    , internalAddress_(state_.settings.address + ":"
-                       + std::to_string(state_.settings.internalPort))
+    , internalAddress_(state_.settings.address + ":" + std::to_string(state_.settings.internalPort))
     , process_(wallTimeMs())
     , digests_(context, toUdpEndpoint(internalAddress_))
     , tickTimer_(context)
@@ -107,15 +106,14 @@
             });
     if (!state_.settings.readinessListen.empty())
         readinessListener_ =
-                serveHttp(context_, state_.settings.readinessListen,
-                          [this](ServerRequest request) {
-                              return handleReadiness(std::move(request));
-                          });
+                serveHttp(context_, state_.settings.readinessListen, [this](ServerRequest request) {
+                    return handleReadiness(std::move(request));
+                });
     if (!state_.settings.metricsListen.empty())
-        metricsListener_ = serveHttp(context_, state_.settings.metricsListen,
-                                     [this](ServerRequest request) {
-                                         return handleMetrics(std::move(request));
-                                     });
+        metricsListener_ =
+                serveHttp(context_, state_.settings.metricsListen, [this](ServerRequest request) {
+                    return handleMetrics(std::move(request));
+                });
     lastTick_ = RuntimeClock::now();
     state_.reportStall = [this] {
         nextHello_ = std::min(nextHello_, RuntimeClock::now() + LeastHelloInterval);
@@ -128,8 +126,7 @@
 {
     if (state_.isDraining)
         return; // a second signal does not hurry the stop
-    logEvent(Event::Stopping,
-             {{"active_requests", std::to_string(state_.activeRequests)}});
+    logEvent(Event::Stopping, {{"active_requests", std::to_string(state_.activeRequests)}});
     stopped_ = std::move(done);
     state_.isDraining = true;
     state_.drainingSince = RuntimeClock::now();
@@ -154,10 +151,9 @@
     const TimePoint now = RuntimeClock::now();
     if (now - lastTick_ > 10 * TickInterval)
         logEvent(Event::Paused,
-                 {{"ms", std::to_string(
-                                 std::chrono::duration_cast<std::chrono::milliseconds>(now
-                                                                                       - lastTick_)
-                                         .count())}});
+                 {{"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                now - lastTick_)
+                                                .count())}});
     lastTick_ = now;
     connectControls();
     if (now >= nextHello_) {
@@ -218,8 +214,7 @@
 asio::awaitable<void> EntryProcess::connectControl(std::string address)
 {
     std::string error;
-    ChannelPointer channel =
-            co_await connectChannel(address, ConnectTimeout, LinkCapacity, error);
+    ChannelPointer channel = co_await connectChannel(address, ConnectTimeout, LinkCapacity, error);
     const auto found = controls_.find(address);
     if (found == controls_.end())
         co_return;
@@ -301,8 +296,9 @@
         return;
     }
     state_.config = std::make_shared<const ServiceConfiguration>(std::move(*decoded.config));
-    logEvent(Event::ConfigurationApplied, {{"version", std::to_string(document.version)},
-                                           {"routes", std::to_string(state_.config->routes.size())}});
+    logEvent(Event::ConfigurationApplied,
+             {{"version", std::to_string(document.version)},
+              {"routes", std::to_string(state_.config->routes.size())}});
 }
 
 LinkHello EntryProcess::ownHello() const
@@ -366,9 +362,8 @@
 
 void EntryProcess::sendDigests(TimePoint now)
 {
-    const Duration interval =
-            std::max<Duration>(ShortestDigestInterval,
-                               DigestIntervalPerPeer * static_cast<int>(peers_.size()));
+    const Duration interval = std::max<Duration>(
+            ShortestDigestInterval, DigestIntervalPerPeer * static_cast<int>(peers_.size()));
     nextDigest_ = now + interval;
     const bool isLoaded = !state_.placement.ownLoads.empty();
     if (!isLoaded && !wasLoaded_)
@@ -398,8 +393,7 @@
         while (true) {
             udp::endpoint sender;
             boost::system::error_code failure;
-            const std::size_t size =
-                    digests_.receive_from(asio::buffer(bytes), sender, 0, failure);
+            const std::size_t size = digests_.receive_from(asio::buffer(bytes), sender, 0, failure);
             if (failure)
                 break;
             try {
@@ -460,8 +454,7 @@
     set("entries", static_cast<double>(state_.entries));
     set("control_links", static_cast<double>(links));
     set("endpoints_usable", static_cast<double>(usable));
-    set("configuration_version",
-        state_.config ? static_cast<double>(state_.config->version) : 0);
+    set("configuration_version", state_.config ? static_cast<double>(state_.config->version) : 0);
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.prometheusText();
     co_return response;
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -29,12 +29,12 @@
     WindowedBudget retryBudget;
     EndpointPool pool;
     Metrics metrics;
-    std::set<Signal *> sessionSignals; // notified when a planned stop begins
+    std::set<Signal *> sessionSignals;          // notified when a planned stop begins
     std::map<EndpointId, TimePoint> progressAt; // last event or answer of each endpoint
     std::map<EndpointId, TimePoint> stalledAt;  // heads at which requests stood still
     std::map<std::string, double> sequences;    // requests in progress, by model
     std::function<void()> reportStall;          // tells control at once
-    std::size_t entries = 1; // that share the retry budget, this one included
+    std::size_t entries = 1;                    // that share the retry budget, this one included
     std::size_t activeRequests = 0;
     std::uint64_t requests = 0;
     bool isDraining = false;
--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -52,8 +52,8 @@
     void on_field_impl(http::field /*field*/, Text name, Text value, Error &error) override
     {
         error = {};
-        message.fields.push_back({std::string(name.data(), name.size()),
-                                  std::string(value.data(), value.size())});
+        message.fields.push_back(
+                {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
 
     void on_header_impl(Error &error) override { error = {}; }
--- a/src/libgateway/link.cpp
+++ b/src/libgateway/link.cpp
@@ -47,8 +47,10 @@
 {
     channel_->setListener(&readSignal_);
     const auto self = shared_from_this();
-    asio::co_spawn(channel_->executor(), [self] { return self->read(); }, asio::detached);
-    asio::co_spawn(channel_->executor(), [self] { return self->write(); }, asio::detached);
+    asio::co_spawn(
+            channel_->executor(), [self] { return self->read(); }, asio::detached);
+    asio::co_spawn(
+            channel_->executor(), [self] { return self->write(); }, asio::detached);
 }
 
 void Link::send(const LinkMessage &message)
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -36,7 +36,7 @@
         std::uint32_t ageMs = 0;
     };
     std::vector<Progress> progress;
-    std::vector<EndpointId> stalled; // heads without progress for their requests
+    std::vector<EndpointId> stalled;         // heads without progress for their requests
     std::map<std::string, double> sequences; // requests in progress, by model
 
     // The latest leader that this node knows of; entries carry it between parted control VMs.
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -20,11 +20,11 @@
 constexpr auto RequestWriteTimeout = std::chrono::seconds(2);
 constexpr auto CallerWriteTimeout = std::chrono::seconds(10); // of a caller that does not read
 constexpr auto BodyTimeout = std::chrono::seconds(10);
-constexpr auto DrainIdleTime = std::chrono::seconds(3);  // idle connections stay open this long
+constexpr auto DrainIdleTime = std::chrono::seconds(3);   // idle connections stay open this long
 constexpr auto DrainAcceptTime = std::chrono::seconds(4); // requests are taken this long
-constexpr auto EventGapLimit = std::chrono::milliseconds(450);  // then the group stands still
+constexpr auto EventGapLimit = std::chrono::milliseconds(450);   // then the group stands still
 constexpr auto FirstEventLimit = std::chrono::milliseconds(600); // at least, for the first event
-constexpr double FirstEventFactor = 2.5; // of the predicted time
+constexpr double FirstEventFactor = 2.5;                         // of the predicted time
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
 constexpr std::size_t MaxAnswerBody = 32 * 1024 * 1024;
@@ -50,12 +50,12 @@
 
 // What became of one attempt at an endpoint.
 enum class AttemptEnd : std::uint8_t {
-    Answered,   // the whole answer was passed on
-    Failed,     // the endpoint ran the request and answered with a failure
-    NotRun,     // the endpoint proved that it did not run the request, or nothing was sent
-    Unknown,    // it may have run
-    Stalled,    // the endpoint shows no progress
-    TimedOut,   // the caller's or the route's time is over
+    Answered, // the whole answer was passed on
+    Failed,   // the endpoint ran the request and answered with a failure
+    NotRun,   // the endpoint proved that it did not run the request, or nothing was sent
+    Unknown,  // it may have run
+    Stalled,  // the endpoint shows no progress
+    TimedOut, // the caller's or the route's time is over
     CallerGone,
 };
 
@@ -128,14 +128,14 @@
 // The key of a request, empty when there is none.
 std::string_view keyOf(const HttpHead &head)
 {
-    constexpr std::string_view Scheme = "Bearer ";
+    constexpr std::string_view scheme = "Bearer ";
     const std::string *authorization = findField(head, "authorization");
-    if (!authorization || authorization->size() <= Scheme.size())
+    if (!authorization || authorization->size() <= scheme.size())
         return {};
     const std::string_view value = *authorization;
-    if (!equalsIgnoringCase(value.substr(0, Scheme.size()), Scheme))
+    if (!equalsIgnoringCase(value.substr(0, scheme.size()), scheme))
         return {};
-    return value.substr(Scheme.size());
+    return value.substr(scheme.size());
 }
 
 class RelaySession
@@ -262,7 +262,7 @@
         const std::string message = toText(head) + body;
         const bool isWritten =
                 co_await channel_->write(message, RuntimeClock::now() + CallerWriteTimeout);
-        co_return isWritten && keepsAlive;
+        co_return isWritten &&keepsAlive;
     }
 
     bool keepsOpen(const RelayRequest &request) const
@@ -356,8 +356,8 @@
         if (refusal != 0)
             co_return co_await refuse(request, refusal, why);
         noteRequest(state_.retryBudget, RuntimeClock::now());
-        const bool isLateInDrain = state_.isDraining
-                                   && RuntimeClock::now() - state_.drainingSince > DrainAcceptTime;
+        const bool isLateInDrain =
+                state_.isDraining && RuntimeClock::now() - state_.drainingSince > DrainAcceptTime;
         if (isLateInDrain)
             co_return co_await refuse(request, 503, "the entry stops", Duration(UnknownRetryAfter));
         Progress progress;
@@ -521,12 +521,13 @@
         const TimePoint now = RuntimeClock::now();
         const std::string workspace = request.workspace ? request.workspace->name : "";
         const std::string route = request.route ? request.route->name : "";
-        state_.metrics.addCount("trefoil_requests_total",
-                                "workspace=\"" + workspace + "\",class=\"" + route + "\",status=\""
-                                        + std::to_string(status) + "\"");
+        state_.metrics.addCount("trefoil_requests_total", "workspace=\"" + workspace + "\",class=\""
+                                                                  + route + "\",status=\""
+                                                                  + std::to_string(status) + "\"");
         state_.metrics.addTotal(workspace, route, now - request.arrivedAt);
         if (progress.firstByteAt)
-            state_.metrics.addFirstByte(workspace, route, *progress.firstByteAt - request.arrivedAt);
+            state_.metrics.addFirstByte(workspace, route,
+                                        *progress.firstByteAt - request.arrivedAt);
         logEvent(Event::RequestEnded,
                  {{"id", request.id},
                   {"route", route},
@@ -537,29 +538,25 @@
                   {"attempts", std::to_string(progress.sends)},
                   {"status", std::to_string(status)},
                   {"outcome", std::string(outcome)},
-                  {"first_ms", progress.firstByteAt
-                                       ? msText(*progress.firstByteAt - request.arrivedAt)
-                                       : ""},
+                  {"first_ms",
+                   progress.firstByteAt ? msText(*progress.firstByteAt - request.arrivedAt) : ""},
                   {"total_ms", msText(now - request.arrivedAt)},
                   {"predicted_first_ms", msText(progress.estimate.firstEvent)},
                   {"candidates", std::to_string(progress.candidates)},
-                  {"configuration",
-                   std::to_string(request.config ? request.config->version : 0)}});
+                  {"configuration", std::to_string(request.config ? request.config->version : 0)}});
     }
 
     // ---- Attempts
 
-    asio::awaitable<std::optional<EndpointConnection>> connect(const RelayRequest &request,
-                                                               const Placement &placement,
-                                                               std::string &error)
+    asio::awaitable<std::optional<EndpointConnection>>
+    connect(const RelayRequest &request, const Placement &placement, std::string &error)
     {
         const TimePoint now = RuntimeClock::now();
         auto idle = state_.pool.take(placement.endpoint, placement.startedAtMs, now);
         if (idle)
             co_return idle;
         state_.metrics.addCount("trefoil_endpoint_connections_total", "");
-        const Duration timeout =
-                std::min<Duration>(EndpointConnectTimeout, request.until - now);
+        const Duration timeout = std::min<Duration>(EndpointConnectTimeout, request.until - now);
         ChannelPointer channel =
                 co_await connectChannel(placement.address, timeout, AnswerCapacity, error);
         if (!channel)
@@ -643,8 +640,8 @@
         progress.mayHaveRun = true;
         const std::string text = requestText(request, progress, placement);
         const bool isWritten = co_await connection->channel->write(
-                text, std::min<TimePoint>(request.until,
-                                          RuntimeClock::now() + RequestWriteTimeout));
+                text,
+                std::min<TimePoint>(request.until, RuntimeClock::now() + RequestWriteTimeout));
         AttemptEnd end = AttemptEnd::Unknown;
         if (isWritten)
             end = co_await exchange(request, progress, placement, *connection, load);
@@ -664,8 +661,8 @@
 
     // Waits for the answer and passes it on.
     asio::awaitable<AttemptEnd> exchange(RelayRequest &request, Progress &progress,
-                                         const Placement &placement,
-                                         EndpointConnection &connection, EndpointLoad &load)
+                                         const Placement &placement, EndpointConnection &connection,
+                                         EndpointLoad &load)
     {
         Channel &endpoint = *connection.channel;
         const TimePoint sentAt = RuntimeClock::now();
@@ -688,9 +685,8 @@
                                   && !isForAnother(request, parser.head());
             if (isParsed && isStream) {
                 const std::string bytes = parser.takeBody();
-                const bool isPassed =
-                        co_await passEvents(request, progress, parser, bytes, placement, load,
-                                            hasProgress);
+                const bool isPassed = co_await passEvents(request, progress, parser, bytes,
+                                                          placement, load, hasProgress);
                 if (!isPassed)
                     co_return AttemptEnd::CallerGone;
             }
@@ -802,9 +798,8 @@
     std::string streamHeadText(RelayRequest &request, const HttpHead &answer) const
     {
         HttpHead head = answer;
-        std::erase_if(head.fields, [&answer](const HttpField &field) {
-            return isHopByHop(answer, field.name);
-        });
+        std::erase_if(head.fields,
+                      [&answer](const HttpField &field) { return isHopByHop(answer, field.name); });
         if (request.head.isHttp11)
             head.fields.push_back({"Transfer-Encoding", "chunked"});
         else
@@ -821,8 +816,7 @@
         const HttpHead &head = parser.head();
         const bool mayReuse = parser.keepsAlive() && connection.channel->input().empty()
                               && !connection.channel->isEnded();
-        connection.idleUntil =
-                mayReuse ? RuntimeClock::now() + idleLifetime(head) : TimePoint{};
+        connection.idleUntil = mayReuse ? RuntimeClock::now() + idleLifetime(head) : TimePoint{};
         if (findField(head, state_.dialect.headers.notExecuted) || head.status == 421) {
             progress.lastReason = "refused by the endpoint with " + std::to_string(head.status);
             noteAttempt(state_.placement, connection.endpoint, EndpointResult::Refused, {},
@@ -858,9 +852,8 @@
         HttpHead head = answer;
         const std::string *length = findField(answer, "content-length");
         const std::string headLength = length ? *length : "0";
-        std::erase_if(head.fields, [&answer](const HttpField &field) {
-            return isHopByHop(answer, field.name);
-        });
+        std::erase_if(head.fields,
+                      [&answer](const HttpField &field) { return isHopByHop(answer, field.name); });
         const bool hasNoBody = answer.status == 204 || answer.status == 304;
         const bool isHead = request.head.method == "HEAD";
         if (!hasNoBody)
@@ -871,7 +864,7 @@
         const std::string text = toText(head) + body;
         const bool isWritten =
                 co_await channel_->write(text, RuntimeClock::now() + CallerWriteTimeout);
-        co_return isWritten && keepsOpen(request);
+        co_return isWritten &&keepsOpen(request);
     }
 
     EntryState &state_;
--- a/src/libgateway/rungateway.cpp
+++ b/src/libgateway/rungateway.cpp
@@ -73,7 +73,8 @@
             return;
         }
         process_.reload(loaded.settings);
-        logEvent(Event::SettingsReloaded, {{"seeds", std::to_string(loaded.settings.seeds.size())}});
+        logEvent(Event::SettingsReloaded,
+                 {{"seeds", std::to_string(loaded.settings.seeds.size())}});
     }
 
     boost::asio::io_context &context_;
--- a/src/libruntime/settingsreader.cpp
+++ b/src/libruntime/settingsreader.cpp
@@ -10,8 +10,8 @@
 namespace Trefoil {
 
 // Reads a mapping. Unknown, repeated and missing keys are findings.
-void readMapping(const YAML::Node &node, std::span<const SettingsField> fields, const std::string &where,
-                 SettingsReader &reader)
+void readMapping(const YAML::Node &node, std::span<const SettingsField> fields,
+                 const std::string &where, SettingsReader &reader)
 {
     if (!node.IsMap()) {
         reader.add(node.Mark(), where + " must be a mapping");
--- a/src/libserving/commands.h
+++ b/src/libserving/commands.h
@@ -148,10 +148,10 @@
     std::uint64_t belowIncarnation = 0;
 };
 
-using Command =
-        std::variant<SetWorkspace, RemoveWorkspace, SetDeployment, RemoveDeployment, AnnounceVm,
-                     SetVmStatus, ForgetVm, FormGroup, DrainGroup, EndGroup, SetDispatcher,
-                     SetEntryDraining, PublishServices, ClaimKey, FinishKey, ReleaseKey, AbandonKeys>;
+using Command = std::variant<SetWorkspace, RemoveWorkspace, SetDeployment, RemoveDeployment,
+                             AnnounceVm, SetVmStatus, ForgetVm, FormGroup, DrainGroup, EndGroup,
+                             SetDispatcher, SetEntryDraining, PublishServices, ClaimKey, FinishKey,
+                             ReleaseKey, AbandonKeys>;
 
 // True for commands that change the configuration that entries hold; false for key commands.
 bool changesConfiguration(const Command &command);
--- a/src/trefoilrund/callersession.h
+++ b/src/trefoilrund/callersession.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "trefoilrund/messages.h"
 #include "libruntime/signal.h"
+#include "trefoilrund/messages.h"
 
 #include <deque>
 #include <optional>
--- a/src/trefoilrund/operatorduty.cpp
+++ b/src/trefoilrund/operatorduty.cpp
@@ -1,8 +1,8 @@
 #include "trefoilrund/operatorduty.h"
 
+#include "libruntime/signal.h"
 #include "trefoilrund/frontjson.h"
 #include "trefoilrund/httplistener.h"
-#include "libruntime/signal.h"
 
 #include <charconv>
 #include <map>
--- a/src/trefoilrund/upstream.cpp
+++ b/src/trefoilrund/upstream.cpp
@@ -1,7 +1,7 @@
 #include "trefoilrund/upstream.h"
 
-#include "trefoilrund/frontjson.h"
 #include "libruntime/signal.h"
+#include "trefoilrund/frontjson.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
--- a/tests/support/enginefleet.cpp
+++ b/tests/support/enginefleet.cpp
@@ -85,9 +85,8 @@
     if (!fleet.planner.hasTraffic)
         return model.loadTime / 10; // loads before the first request are fast and do not count
     fleet.loads.push_back(fleet.now);
-    const auto recent = std::count_if(fleet.loads.begin(), fleet.loads.end(), [&](TimePoint at) {
-        return fleet.now - at <= LoadWindow;
-    });
+    const auto recent = std::count_if(fleet.loads.begin(), fleet.loads.end(),
+                                      [&](TimePoint at) { return fleet.now - at <= LoadWindow; });
     if (static_cast<std::size_t>(recent) > MaxLoadsInWindow)
         fleet.broken.emplace_back("too many loads from the weight store");
     return model.loadTime;
@@ -108,10 +107,9 @@
     engine.lastModel = order.model;
     engine.members = order.members;
     const auto place = std::find(order.members.begin(), order.members.end(), engine.report.id);
-    engine.report.membership =
-            GroupMembership{order.group, order.epoch,
-                            static_cast<std::uint32_t>(place - order.members.begin()),
-                            MembershipPhase::Joining};
+    engine.report.membership = GroupMembership{
+            order.group, order.epoch, static_cast<std::uint32_t>(place - order.members.begin()),
+            MembershipPhase::Joining};
     engine.changesAt = fleet.now + time;
     engine.nextPhase = MembershipPhase::Ready;
     engine.stillSince = TimePoint::max();
@@ -154,8 +152,7 @@
         return join(fleet, engine, order);
     if (order.kind == OrderKind::Stage) {
         if (!hasStaged(engine, order.model))
-            loadTime(fleet, engine,
-                     *findModel(*fleet.config.services.front().engine, order.model));
+            loadTime(fleet, engine, *findModel(*fleet.config.services.front().engine, order.model));
         return OrderOutcome::Accepted;
     }
     if (!isSameGroup(engine, order.group, order.epoch))
@@ -308,10 +305,9 @@
     engine.slots = 26;
     engine.loadsPerSecond = 4;
     engine.concurrentLoads = 6;
-    engine.models = {{"large", 4, 0.67, 1.0, std::chrono::seconds(16),
-                      std::chrono::milliseconds(1600)},
-                     {"small", 2, 0.33, 0.6, std::chrono::seconds(12),
-                      std::chrono::milliseconds(1100)}};
+    engine.models = {
+            {"large", 4, 0.67, 1.0, std::chrono::seconds(16), std::chrono::milliseconds(1600)},
+            {"small", 2, 0.33, 0.6, std::chrono::seconds(12), std::chrono::milliseconds(1100)}};
     service.engine = engine;
     fleet.config.version = 1;
     fleet.config.services.push_back(service);
@@ -336,8 +332,7 @@
         for (auto &[id, engine] : fleet.engines)
             advanceEngine(fleet, engine);
         deliverToLeader(fleet);
-        for (GroupOrder &order :
-             planGroups(fleet.planner, fleet.table, fleet.config, fleet.now)) {
+        for (GroupOrder &order : planGroups(fleet.planner, fleet.table, fleet.config, fleet.now)) {
             DelayedOrder delayed{fleet.now + OrderDelay, std::move(order), true};
             if (share(fleet.rng) < fleet.lateShare) {
                 delayed.isAnswered = false;
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -19,7 +19,7 @@
 {
     EndpointReport report;
     bool isRunning = true;
-    bool isCut = false; // from control; its group goes on serving
+    bool isCut = false;                     // from control; its group goes on serving
     TimePoint changesAt = TimePoint::max(); // next step of its membership
     MembershipPhase nextPhase = MembershipPhase::Joining;
     std::vector<EndpointId> members; // of its group
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -97,7 +97,10 @@
         void (*spoil)(ServiceConfiguration &);
     };
     const Case cases[] = {
-            {"unknown service", [](auto &c) { c.routes[0].split = {{"nobody", 1}}; }},
+            {"unknown service",
+             [](auto &c) {
+                 c.routes[0].split = {{"nobody", 1}};
+             }},
             {"same host", [](auto &c) { c.routes[1].pathPrefix = "/"; }},
             {"add up to 0", [](auto &c) { c.routes[0].split[0].weight = 0; }},
             {"timeout", [](auto &c) { c.routes[0].timeout = Duration::zero(); }},
@@ -160,8 +163,8 @@
 {
     EndpointTable table;
     for (std::uint32_t rank = 0; rank < 2; ++rank) {
-        EndpointReport member = report("e" + std::to_string(rank), "10.0.0." + std::to_string(rank),
-                                       1, 1);
+        EndpointReport member =
+                report("e" + std::to_string(rank), "10.0.0." + std::to_string(rank), 1, 1);
         member.membership = GroupMembership{"m.1", 1, rank, MembershipPhase::Open};
         takeReport(table, member, {}, Start);
     }
@@ -309,8 +312,11 @@
 
     // Seats grow to the number that the tolerated losses ask for, spread over failure domains.
     options.seats = 5;
-    const std::vector<SeatCandidate> many = {{1, "a:1", "d1"}, {2, "b:1", "d2"}, {3, "c:1", "d3"},
-                                             {4, "a:2", "d1"}, {5, "x:1", "d4"}};
+    const std::vector<SeatCandidate> many = {{1, "a:1", "d1"},
+                                             {2, "b:1", "d2"},
+                                             {3, "c:1", "d3"},
+                                             {4, "a:2", "d1"},
+                                             {5, "x:1", "d4"}};
     BOOST_CHECK_EQUAL(planSeats(three, 1, fresh, many, options, Start)->back().id, 5);
 }
 
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -13,8 +13,7 @@
 // Every promise of the groups was kept.
 void checkPromises(const EngineFleet &fleet)
 {
-    BOOST_CHECK_MESSAGE(fleet.broken.empty(),
-                        (fleet.broken.empty() ? "" : fleet.broken.front()));
+    BOOST_CHECK_MESSAGE(fleet.broken.empty(), (fleet.broken.empty() ? "" : fleet.broken.front()));
 }
 
 EndpointId anyMember(const EngineFleet &fleet, bool isHead)
@@ -142,14 +141,14 @@
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
 {
-    constexpr std::uint64_t Seeds = 200;
-    constexpr int Steps = 40;
-    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    constexpr std::uint64_t seeds = 200;
+    constexpr int steps = 40;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         EngineFleet fleet = makeEngineFleet(2, seed);
         runFleet(fleet, seconds(30));
         fleet.lateShare = seed % 2 == 0 ? 0.35 : 0;
         fleet.slowShare = seed % 3 == 0 ? 0.4 : 0;
-        for (int step = 0; step < Steps; ++step) {
+        for (int step = 0; step < steps; ++step) {
             auto item = fleet.engines.begin();
             std::advance(item, static_cast<long>(fleet.rng() % fleet.engines.size()));
             const EndpointId id = item->first;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -69,7 +69,8 @@
             replaced(text, "\"version\":7", "\"version\":\"7\""),
             replaced(text, "\"version\":7", "\"version\":-7"),
             replaced(text, "\"timeout-ms\":8000", "\"timeout-ms\":0"),
-            replaced(text, "\"service\":\"wuno96b\",\"attempts\"", "\"service\":\"x\",\"attempts\""),
+            replaced(text, "\"service\":\"wuno96b\",\"attempts\"",
+                     "\"service\":\"x\",\"attempts\""),
             replaced(text, "/pufi791/", "/lohu930/"),
             replaced(replaced(text, "\"weight\":90", "\"weight\":0"), "\"weight\":10",
                      "\"weight\":0"),
@@ -242,8 +243,8 @@
 BOOST_AUTO_TEST_CASE(link_messages_keep_their_content)
 {
     EndpointNews news;
-    news.items.push_back({std::get<EndpointReport>(dialect().decodeHeartbeat("i-1", Heartbeat)),
-                          250, true});
+    news.items.push_back(
+            {std::get<EndpointReport>(dialect().decodeHeartbeat("i-1", Heartbeat)), 250, true});
     news.signs.push_back({"i-2", 5, 100});
     const LinkMessage message = decodeLinkMessage(encodeLinkMessage(news));
     const auto &read = std::get<EndpointNews>(message);
@@ -255,9 +256,10 @@
 
 BOOST_AUTO_TEST_CASE(settings_report_each_fault_with_its_place)
 {
-    const std::string good = "node:\n  name: e1\n  region: r\n  domain: d\n  address: 10.0.0.1\n"
-                             "  internal_port: 7000\n  seeds: [\"10.0.0.2:80\"]\n"
-                             "  dialect: platform\nlisten:\n  callers: 10.0.0.1:80\nlimits:\n  retry_ratio: 0.2\n";
+    const std::string good =
+            "node:\n  name: e1\n  region: r\n  domain: d\n  address: 10.0.0.1\n"
+            "  internal_port: 7000\n  seeds: [\"10.0.0.2:80\"]\n"
+            "  dialect: platform\nlisten:\n  callers: 10.0.0.1:80\nlimits:\n  retry_ratio: 0.2\n";
     BOOST_CHECK(readGatewaySettings(good, "f").findings.empty());
     const std::string bad = replaced(replaced(good, "7000", "x"), "retry_ratio", "retry_ratoi");
     const auto findings = readGatewaySettings(bad, "f").findings;
