libgateway: cheap loads are assumed only at the very first start

Cause: a control VM that restarted knew of no traffic and took loads for cheap, 48 at once; the rate of the weight store would have been exceeded. Found while tracing windows without any service after final faults.

--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
 constexpr auto PlanInterval = std::chrono::milliseconds(100);
+constexpr auto FirstStartTime = std::chrono::seconds(20);
 constexpr auto LeastPlanInterval = std::chrono::milliseconds(25);
 constexpr auto NewsDelay = std::chrono::milliseconds(5); // gathers changes into one message
 constexpr auto SignInterval = std::chrono::milliseconds(500);
@@ -114,6 +115,7 @@
         entryListListener_ = serve(settings_.entryListListen, &ControlProcess::handleEntryList);
     if (!settings_.metricsListen.empty())
         metricsListener_ = serve(settings_.metricsListen, &ControlProcess::handleMetrics);
+    startedAt_ = RuntimeClock::now();
     reload(settings_);
     tick();
     logEvent(Event::Started, {{"role", "control"}, {"address", internalAddress_}});
@@ -732,7 +734,9 @@
     const ServiceConfiguration *config = configuration();
     if (!config)
         return;
-    planner_->hasTraffic = hasTraffic_;
+    // Loads are cheap only before the first request of a system that starts for the first time.
+    const bool mayBeUnused = settings_.isFirstStart && now - startedAt_ < FirstStartTime;
+    planner_->hasTraffic = hasTraffic_ || !mayBeUnused;
     planner_->sequences.clear();
     for (const auto &[pointer, link] : accepted_) {
         for (const auto &[model, count] : link->hello.sequences)
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -110,6 +110,7 @@
     bool isNewsDue_ = false;
     TimePoint nextSigns_{};
     TimePoint nextHello_{};
+    TimePoint startedAt_{};
     TimePoint nextPlan_{};
     TimePoint lastPlan_{};
     std::uint64_t offeredVersion_ = 0;
