--- a/src/libgateway/channel.cpp
+++ b/src/libgateway/channel.cpp
@@ -169,12 +169,16 @@
 
 ChannelListener::ChannelListener(asio::io_context &context, const std::string &address,
                                  std::size_t capacity, Handler handler)
+    : ChannelListener(context, toEndpoint(address), capacity, std::move(handler))
+{}
+
+ChannelListener::ChannelListener(asio::io_context &context, const tcp::endpoint &endpoint,
+                                 std::size_t capacity, Handler handler)
     : acceptor_(context)
     , retry_(context)
     , capacity_(capacity)
     , handler_(std::move(handler))
 {
-    const tcp::endpoint endpoint = toEndpoint(address);
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
--- a/src/libgateway/channel.h
+++ b/src/libgateway/channel.h
@@ -74,9 +74,15 @@
     // Throws when it cannot listen.
     ChannelListener(boost::asio::io_context &context, const std::string &address,
                     std::size_t capacity, Handler handler);
+    ChannelListener(boost::asio::io_context &context,
+                    const boost::asio::ip::tcp::endpoint &endpoint, std::size_t capacity,
+                    Handler handler);
 
     void close();
 
+    // Port that it listens on, for an address with port 0.
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
 private:
     void accept();
 
--- /dev/null
+++ b/tests/test_relay.cpp
@@ -0,0 +1,369 @@
+#define BOOST_TEST_MODULE relay
+#include "libgateway/relaysession.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+
+// The relay between a caller and scripted endpoints over loopback. Each case is one exchange.
+
+namespace Trefoil {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t Capacity = 64 * 1024;
+
+// A free port of the loopback interface.
+asio::ip::tcp::endpoint anyPort()
+{
+    return {asio::ip::address_v4::loopback(), 0};
+}
+
+// An endpoint that answers each request with the next text of its script, and remembers what came.
+struct ScriptedEndpoint
+{
+    EndpointId id;
+    std::vector<std::string> answers;
+    bool closesAfterAnswer = false;
+    std::vector<HttpHead> heads;
+    std::vector<std::string> bodies;
+    bool wasLeft = false; // the relay closed the connection
+    std::unique_ptr<ChannelListener> listener;
+    std::string address;
+};
+
+asio::awaitable<void> runEndpoint(ScriptedEndpoint &endpoint, ChannelPointer channel)
+{
+    Signal signal(channel->executor());
+    channel->setListener(&signal);
+    while (true) {
+        HttpParser parser(HttpMessageKind::Request, Capacity, Capacity);
+        while (parser.consume(channel->input()) && !parser.isDone() && !channel->isEnded()) {
+            channel->resume();
+            co_await signal.wait();
+        }
+        if (!parser.isDone())
+            break;
+        endpoint.heads.push_back(parser.head());
+        endpoint.bodies.push_back(parser.takeBody());
+        const std::size_t number = endpoint.heads.size() - 1;
+        if (number < endpoint.answers.size())
+            co_await channel->write(endpoint.answers[number], RuntimeClock::now() + seconds(5));
+        if (endpoint.closesAfterAnswer)
+            break;
+        channel->resume();
+    }
+    endpoint.wasLeft = channel->isEnded();
+    channel->setListener(nullptr);
+    channel->close();
+}
+
+struct World
+{
+    asio::io_context context{1};
+    EntryState state{context, settings()};
+    ScriptedEndpoint first{"e1", {}, false, {}, {}, false, nullptr, {}};
+    ScriptedEndpoint second{"e2", {}, false, {}, {}, false, nullptr, {}};
+    std::unique_ptr<ChannelListener> entry;
+    std::string answer; // what the caller got until the connection ended or it had enough
+
+    World()
+    {
+        listen(first);
+        listen(second);
+        state.reportStall = [] {};
+        entry = std::make_unique<ChannelListener>(
+                context, anyPort(), Capacity, [this](ChannelPointer channel) {
+                    asio::co_spawn(context, runRelaySession(state, std::move(channel)),
+                                   asio::detached);
+                });
+    }
+
+    static GatewaySettings settings()
+    {
+        GatewaySettings result;
+        result.name = "entry";
+        result.domain = "d1";
+        result.dialect = "platform";
+        return result;
+    }
+
+    void listen(ScriptedEndpoint &endpoint)
+    {
+        endpoint.listener = std::make_unique<ChannelListener>(
+                context, anyPort(), Capacity, [this, &endpoint](ChannelPointer channel) {
+                    asio::co_spawn(context, runEndpoint(endpoint, std::move(channel)),
+                                   asio::detached);
+                });
+        endpoint.address = "127.0.0.1:" + std::to_string(endpoint.listener->port());
+    }
+
+    // Publishes one route of the kind and lets the endpoints report.
+    void publish(RouteKind kind, std::size_t endpoints)
+    {
+        ServiceConfiguration config;
+        config.version = 1;
+        config.requiresKeys = true;
+        config.workspaces = {{"haldar", {"secret"}, std::nullopt}};
+        config.services = {{"desk", "/health", 100, std::nullopt}};
+        Route route;
+        route.name = "r";
+        route.host = "a.example";
+        route.pathPrefix = "/desk/";
+        route.kind = kind;
+        route.isResumable = kind == RouteKind::Stream;
+        route.split = {{"desk", 1}};
+        route.timeout = seconds(5);
+        route.targetLatency = seconds(1);
+        route.attempts = 2;
+        config.routes = {route};
+        indexConfiguration(config);
+        state.config = std::make_shared<const ServiceConfiguration>(config);
+        report(first);
+        if (endpoints > 1)
+            report(second);
+        state.retryBudget.options.allowance = 100;
+    }
+
+    void report(const ScriptedEndpoint &endpoint)
+    {
+        EndpointReport result;
+        result.id = endpoint.id;
+        result.service = "desk";
+        result.address = endpoint.address;
+        result.domain = endpoint.id == "e1" ? "d1" : "d2";
+        result.slots = 6;
+        result.startedAtMs = 1;
+        result.sequence = 1;
+        takeReport(state.placement.table, result, {}, RuntimeClock::now());
+        // The second endpoint is used only after the first.
+        if (endpoint.id == "e2")
+            addLoad(state.placement, "e2", {12, 0, 0});
+    }
+
+    asio::awaitable<void> call(std::string request, std::string enough)
+    {
+        std::string error;
+        const ChannelPointer channel = co_await connectChannel(
+                "127.0.0.1:" + std::to_string(entry->port()), seconds(1), Capacity, error);
+        BOOST_REQUIRE_MESSAGE(channel, error);
+        Signal signal(channel->executor());
+        channel->setListener(&signal);
+        co_await channel->write(request, RuntimeClock::now() + seconds(5));
+        while (!channel->isEnded()
+               && (enough.empty() || answer.find(enough) == std::string::npos)) {
+            co_await signal.wait();
+            answer += std::exchange(channel->input(), {});
+            channel->resume();
+        }
+        channel->setListener(nullptr);
+        channel->close();
+        // The entry notices that its caller has gone.
+        RuntimeTimer timer(channel->executor(), RuntimeClock::now() + milliseconds(100));
+        co_await timer.async_wait(asio::use_awaitable);
+        context.stop();
+    }
+
+    // Sends a request and runs until the answer holds `enough`, or the connection ends.
+    void exchange(const std::string &request, const std::string &enough)
+    {
+        asio::co_spawn(context, call(request, enough), asio::detached);
+        context.run();
+    }
+};
+
+std::string request(const std::string &fields, const std::string &body)
+{
+    return "POST /desk/x?y=1 HTTP/1.1\r\nHost: a.example\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+           "X-Trefoilrun-Request-Deadline: 4000\r\n"
+           + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string Key = "Authorization: Bearer secret\r\n";
+
+std::string success(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
+           "Content-Length: "
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string streamHead()
+{
+    return "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
+           "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunkOf(const std::string &bytes)
+{
+    char length[16];
+    std::snprintf(length, sizeof length, "%zx", bytes.size());
+    return std::string(length) + "\r\n" + bytes + "\r\n";
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_entry_without_configuration_says_not_run)
+{
+    World world;
+    world.exchange(request(Key, "b"), "\r\n\r\n");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 503"));
+    BOOST_CHECK(contains(world.answer, "Retry-After:"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_is_passed_on_and_its_answer_back)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 1);
+    world.first.answers = {success("whole body")};
+    world.exchange(request(Key + "X-Own: kept\r\nX-Trefoilrun-Tenant-Name: forged\r\n", "payload"),
+                   "whole body");
+    BOOST_CHECK(contains(world.answer, "X-Trefoilrun-Response-Seal: s1"));
+    BOOST_REQUIRE_EQUAL(world.first.heads.size(), 1);
+    const HttpHead &head = world.first.heads[0];
+    BOOST_CHECK_EQUAL(head.target, "/desk/x?y=1");
+    BOOST_CHECK_EQUAL(world.first.bodies[0], "payload");
+    BOOST_CHECK_EQUAL(*findField(head, "X-Own"), "kept");
+    BOOST_CHECK_EQUAL(*findField(head, "X-Trefoilrun-Expect-Instance"), "e1");
+    BOOST_CHECK_EQUAL(*findField(head, "X-Trefoilrun-Tenant-Name"), "haldar");
+    BOOST_CHECK(!findField(head, "Authorization"));
+    BOOST_CHECK_LE(std::stoi(*findField(head, "X-Trefoilrun-Request-Deadline")), 4000);
+}
+
+BOOST_AUTO_TEST_CASE(requests_without_a_known_key_or_route_are_refused)
+{
+    World unknownKey;
+    unknownKey.publish(RouteKind::Idempotent, 1);
+    unknownKey.exchange(request("Authorization: Bearer other\r\n", ""), "\r\n\r\n");
+    BOOST_CHECK(contains(unknownKey.answer, "HTTP/1.1 401"));
+    World noRoute;
+    noRoute.publish(RouteKind::Idempotent, 1);
+    noRoute.exchange("GET /other/ HTTP/1.1\r\nHost: a.example\r\n" + Key + "\r\n", "\r\n\r\n");
+    BOOST_CHECK(contains(noRoute.answer, "HTTP/1.1 404"));
+    BOOST_CHECK(noRoute.first.heads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_booking_that_was_not_run_goes_to_another_endpoint)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 2);
+    world.first.answers = {"HTTP/1.1 503 Full\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+                           "X-Trefoilrun-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    world.second.answers = {success("booked")};
+    world.exchange(request(Key, ""), "booked");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 200"));
+    BOOST_CHECK_EQUAL(world.second.heads.size(), 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_booking_that_may_have_run_is_not_sent_again)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 2);
+    world.first.answers = {"HTTP/1.1 200 OK\r\nContent-Le"};
+    world.first.closesAfterAnswer = true;
+    world.exchange(request(Key, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 502"));
+    BOOST_CHECK(world.second.heads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_lookup_that_was_cut_off_is_sent_again)
+{
+    World world;
+    world.publish(RouteKind::Idempotent, 2);
+    world.first.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf"};
+    world.first.closesAfterAnswer = true;
+    world.second.answers = {success("looked up")};
+    world.exchange(request(Key, ""), "looked up");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(a_success_without_digest_is_no_answer)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 1);
+    world.first.answers = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"};
+    world.exchange(request(Key, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 502"));
+    BOOST_CHECK(!contains(world.answer, "fake"));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_to_an_earlier_request_is_skipped)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 1);
+    std::string late = success("of another");
+    late.replace(late.find("id1"), 3, "id0");
+    world.first.answers = {late + success("own")};
+    world.exchange(request(Key, ""), "own");
+    BOOST_CHECK(!contains(world.answer, "of another"));
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_of_the_endpoint_is_passed_on_unchanged)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 2);
+    world.first.answers = {"HTTP/1.1 500 Broken\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+                           "X-Trefoilrun-Response-Seal: s9\r\nContent-Length: 4\r\n\r\noops"};
+    world.exchange(request(Key, ""), "oops");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 500"));
+    BOOST_CHECK(contains(world.answer, "s9"));
+    BOOST_CHECK(world.second.heads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_at_another_endpoint_behind_its_last_event)
+{
+    World world;
+    world.publish(RouteKind::Stream, 2);
+    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\nid: 2\nda")};
+    world.first.closesAfterAnswer = true;
+    world.second.answers = {streamHead() + chunkOf("id: 2\ndata: b\n\n") + "0\r\n\r\n"};
+    world.exchange(request(Key, ""), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(world.answer, "id: 1\ndata: a\n\n"));
+    BOOST_CHECK(contains(world.answer, "id: 2\ndata: b\n\n"));
+    BOOST_REQUIRE_EQUAL(world.second.heads.size(), 1);
+    BOOST_CHECK_EQUAL(*findField(world.second.heads[0], "Last-Event-Id"), "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_cannot_go_on_does_not_look_complete)
+{
+    World world;
+    world.publish(RouteKind::Stream, 1);
+    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n")};
+    world.first.closesAfterAnswer = true;
+    world.exchange(request(Key, ""), "");
+    BOOST_CHECK(contains(world.answer, "id: 1"));
+    BOOST_CHECK(!contains(world.answer, "\r\n0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(work_for_a_caller_that_has_gone_is_cancelled)
+{
+    World world;
+    world.publish(RouteKind::Stream, 1);
+    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n")};
+    world.exchange(request(Key, ""), "id: 1");
+    BOOST_CHECK(world.first.wasLeft);
+    BOOST_CHECK(world.state.placement.ownLoads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_entry_closes_its_connections_after_the_answer)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 1);
+    world.first.answers = {success("last")};
+    world.state.isDraining = true;
+    world.state.drainingSince = RuntimeClock::now();
+    world.exchange(request(Key, ""), "");
+    BOOST_CHECK(contains(world.answer, "last"));
+    BOOST_CHECK(contains(world.answer, "Connection: close"));
+}
+
+} // namespace Trefoil
