--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -418,7 +418,7 @@
         wanted.timeLeft = request.until - now;
         wanted.targetLeft = request.targetUntil - now;
         wanted.tried = progress.tried;
-        wanted.isResumption = progress.mayHaveRun || progress.isHeadSent;
+        wanted.isResumption = progress.sends > 0;
         return placeRequest(state_.placement, wanted, now);
     }
 
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -264,6 +264,19 @@
     BOOST_CHECK_EQUAL(world.second.heads.size(), 1);
 }
 
+// Load: a group breaks with requests in its queue; by then they are nearly late everywhere.
+BOOST_AUTO_TEST_CASE(a_request_that_lost_its_place_is_served_late_rather_than_refused)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 2);
+    addLoad(world.state.placement, "e2", {400, 0, 0});
+    world.first.answers = {"HTTP/1.1 503 Broken\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+                           "X-Trefoilrun-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+    world.second.answers = {success("late")};
+    world.exchange(request(Key, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(world.answer, "HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_booking_that_may_have_run_is_not_sent_again)
 {
     World world;
