--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -242,7 +242,6 @@
 void ControlProcess::linkMessage(Link &link, LinkMessage &&message)
 {
     if (auto *hello = std::get_if<LinkHello>(&message)) {
-        const bool isKnown = link.hasHello && toKnownNode(link.hello) == toKnownNode(*hello);
         link.hello = std::move(*hello);
         link.hasHello = true;
         hasTraffic_ = hasTraffic_ || link.hello.requests > 0;
@@ -253,8 +252,6 @@
             if (peer != peers_.end())
                 peer->second.publicAddress = link.hello.publicAddress;
         }
-        if (!isKnown)
-            broadcastTopology();
         // The answer keeps the link alive in the other direction.
         link.send(ConfigurationOffer{seat_->services().version});
     } else if (auto *raft = std::get_if<RaftEnvelope>(&message)) {
@@ -313,7 +310,6 @@
     if (link.hasHello)
         logEvent(Event::LinkLost, {{"peer", link.hello.name}, {"reason", reason}});
     accepted_.erase(&link);
-    broadcastTopology();
 }
 
 LinkHello ControlProcess::ownHello() const
@@ -414,9 +410,10 @@
     ServerResponse response;
     response.body = dialect_.encodeHeartbeatReply(reportAddress());
     // A report of a service that no configuration names is acknowledged and not used: it may come
-    // from another writer and must not replace the endpoint at its address.
+    // from another writer and must not replace the endpoint at its address. A control VM that has
+    // just started knows no configuration yet; without the reports its entries would serve nobody.
     const ServiceConfiguration *config = configuration();
-    if (!config || !findService(*config, report.service)) {
+    if (config && !findService(*config, report.service)) {
         logEvent(Event::EndpointReportInvalid,
                  {{"endpoint", call.endpoint}, {"error", "unknown service " + report.service}});
         return response;
