--- a/examples/standin.cpp
+++ b/examples/standin.cpp
@@ -1,6 +1,6 @@
 #include "standinengine.h"
 
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/examples/standinclient.cpp
+++ b/examples/standinclient.cpp
@@ -1,6 +1,6 @@
 #include "standinclient.h"
 
-#include "trefoilrund/signal.h"
+#include "libruntime/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
