libfleet: a refused repeat of an open order does not end a group that opens

A member that was missed then freed the others under an open head. Now only a report of the open head ends that mark; the head is told to leave first. Both tests fail before and pass after.

Ruled out: an order that took effect late (counted by unansweredOpens), fences of earlier leaders (term 1).

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -732,8 +732,10 @@
     if (isAnswered && found->second.kind == OrderKind::Open && planned != planner.groups.end()
         && planned->second.unansweredOpens > 0) {
         --planned->second.unansweredOpens;
-        // The head opens a little later; until its report shows it, it counts as opening.
-        planned->second.isOpening = outcome == OrderOutcome::Accepted;
+        // The head opens a little later; until its report shows it, it counts as opening. A head
+        // that opens or is open refuses a repeated order, so a refusal does not end that.
+        if (outcome == OrderOutcome::Accepted)
+            planned->second.isOpening = true;
     }
     const OrderKind kind = found->second.kind;
     if (outcome == OrderOutcome::Accepted && kind == OrderKind::Leave
--- a/tests/support/enginefleet.cpp
+++ b/tests/support/enginefleet.cpp
@@ -119,10 +119,8 @@
 
 OrderOutcome open(EngineFleet &fleet, StandInEngine &engine)
 {
-    const MembershipPhase phase = engine.report.membership->phase;
-    if (phase == MembershipPhase::Open)
-        return OrderOutcome::Accepted;
-    if (phase != MembershipPhase::Ready)
+    // Also an open head is not ready, so it refuses a repeated order.
+    if (engine.report.membership->phase != MembershipPhase::Ready)
         return OrderOutcome::NotFitting;
     engine.changesAt = fleet.now + std::chrono::milliseconds(300);
     engine.nextPhase = MembershipPhase::Open;
@@ -175,7 +173,7 @@
 Duration slowness(EngineFleet &fleet)
 {
     std::uniform_real_distribution<double> share(0, 1);
-    std::uniform_int_distribution<int> delay(100, 2000);
+    std::uniform_int_distribution<int> delay(100, static_cast<int>(fleet.longestDelay.count()));
     return share(fleet.rng) < fleet.slowShare ? std::chrono::milliseconds(delay(fleet.rng))
                                               : std::chrono::milliseconds(0);
 }
@@ -321,6 +319,17 @@
     return fleet;
 }
 
+OrderOutcome obeyOrder(EngineFleet &fleet, const GroupOrder &order)
+{
+    return obey(fleet, fleet.engines.at(order.endpoint), order);
+}
+
+void advanceEngines(EngineFleet &fleet)
+{
+    for (auto &[id, engine] : fleet.engines)
+        advanceEngine(fleet, engine);
+}
+
 void runFleet(EngineFleet &fleet, Duration duration)
 {
     const TimePoint until = fleet.now + duration;
@@ -329,8 +338,7 @@
     while (fleet.now < until) {
         fleet.now += Step;
         deliverOrders(fleet);
-        for (auto &[id, engine] : fleet.engines)
-            advanceEngine(fleet, engine);
+        advanceEngines(fleet);
         deliverToLeader(fleet);
         for (GroupOrder &order : planGroups(fleet.planner, fleet.table, fleet.config, fleet.now)) {
             DelayedOrder delayed{fleet.now + OrderDelay, std::move(order), true};
@@ -348,13 +356,14 @@
     fleet.engines.at(id).isRunning = false;
 }
 
-void restartEngine(EngineFleet &fleet, const EndpointId &id)
+EndpointId restartEngine(EngineFleet &fleet, const EndpointId &id)
 {
     const StandInEngine old = fleet.engines.at(id);
     StandInEngine engine = newEngine(fleet, old.report.fabric, old.report.address);
     engine.report.stagedModels = old.report.stagedModels;
     fleet.engines.erase(id);
     fleet.engines[engine.report.id] = engine;
+    return engine.report.id;
 }
 
 void setCut(EngineFleet &fleet, const EndpointId &id, bool isCut)
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -68,7 +68,8 @@
     std::mt19937_64 rng;
     std::vector<DelayedAnswer> answers;
     std::vector<DelayedReport> reports;
-    double slowShare = 0; // of the answers and reports that come up to 2 s late
+    double slowShare = 0;                         // of the answers and reports that come late
+    std::chrono::milliseconds longestDelay{2000}; // of these
     double lateShare = 0; // of the orders that get no answer and are carried out late
     std::uint64_t nextLife = 1;
     Duration stall = std::chrono::seconds(6);
@@ -77,13 +78,19 @@
 // A service with models of 4 and 2 VMs over engines in fabric domains of 8.
 EngineFleet makeEngineFleet(std::size_t fabrics, std::uint64_t seed);
 
+// Carries out an order at its engine, which must exist.
+OrderOutcome obeyOrder(EngineFleet &fleet, const GroupOrder &order);
+
+// Brings all engines to the present; their reports are queued.
+void advanceEngines(EngineFleet &fleet);
+
 // Runs the fleet and the planner for a while in steps of 10 ms.
 void runFleet(EngineFleet &fleet, Duration duration);
 
 void crashEngine(EngineFleet &fleet, const EndpointId &id);
 
-// Starts the engine again as another life with another id.
-void restartEngine(EngineFleet &fleet, const EndpointId &id);
+// Starts the engine again as another life with another id, which is returned.
+EndpointId restartEngine(EngineFleet &fleet, const EndpointId &id);
 
 void setCut(EngineFleet &fleet, const EndpointId &id, bool isCut);
 void setDraining(EngineFleet &fleet, const EndpointId &id);
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -137,6 +137,45 @@
     checkPromises(fleet);
 }
 
+// Load: reports are slower than the repeated open order. The head obeyed the first order and
+// refuses the second one, since it is open already; then a member is lost.
+BOOST_AUTO_TEST_CASE(a_refused_repeat_of_an_open_order_does_not_free_the_members)
+{
+    EngineFleet fleet = makeEngineFleet(1, 1);
+    fleet.slowShare = 1;
+    fleet.longestDelay = milliseconds(100);
+    const auto opening = [&fleet] {
+        for (const auto &[name, group] : fleet.planner.groups) {
+            if (group.model == "large" && group.stage == GroupStage::Opening && group.isOpening)
+                return name;
+        }
+        return std::string();
+    };
+    while (opening().empty())
+        runFleet(fleet, milliseconds(10));
+    const std::string group = opening();
+    const std::vector<EndpointId> members = fleet.planner.groups.at(group).members;
+    // The repeat is sent and refused while the head's report of its open group is on the way.
+    const auto holdReports = [&fleet] {
+        std::erase_if(fleet.reports, [](const DelayedReport &report) {
+            return report.report.membership
+                   && report.report.membership->phase == MembershipPhase::Open;
+        });
+    };
+    for (int step = 0; step < 200; ++step) {
+        runFleet(fleet, milliseconds(10));
+        holdReports();
+    }
+    BOOST_REQUIRE(fleet.planner.groups.at(group).stage == GroupStage::Opening);
+    setDraining(fleet, members.back());
+    for (int step = 0; step < 100; ++step) {
+        runFleet(fleet, milliseconds(10));
+        holdReports();
+    }
+    runFleet(fleet, seconds(20));
+    checkPromises(fleet);
+}
+
 // Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
@@ -148,6 +187,7 @@
         runFleet(fleet, seconds(30));
         fleet.lateShare = seed % 2 == 0 ? 0.35 : 0;
         fleet.slowShare = seed % 3 == 0 ? 0.4 : 0;
+        fleet.longestDelay = milliseconds(seed % 6 == 0 ? 6000 : 2000);
         for (int step = 0; step < steps; ++step) {
             auto item = fleet.engines.begin();
             std::advance(item, static_cast<long>(fleet.rng() % fleet.engines.size()));
