libfleet: first groups wait until all VMs have come; small groups share fabric domains

Load: 171 VMs in fabric domains of 19 start over 4 s; groups are of 8 and 4 VMs. Now the leader waits until no VM was added for 0.7 s (6 s at most), loads before the first request are not limited, and a place is chosen by the large groups that it costs, then the fullest.

tests: a soak of the gateway processes (tests/soak): real processes on the loopback interface, stand-in endpoints behind proxies that delay, reset and silence, callers and an operator that check each answer.

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace Trefoil {
 
@@ -95,7 +96,7 @@
 {
     GroupPlanner &planner = planning.planner;
     if (!planner.hasTraffic)
-        return loadsInProgress(planning) < planner.options.initialConcurrentLoads;
+        return true;
     while (!planner.loadStarts.empty() && planning.now - planner.loadStarts.front() > LoadWindow)
         planner.loadStarts.pop_front();
     const double inWindow =
@@ -625,13 +626,24 @@
 
 using FreeVms = std::map<std::string, std::vector<const Endpoint *>>;
 
+// Groups of the largest model that no longer fit among the free VMs of a fabric once a group of
+// this size forms there.
+std::size_t lostLargeGroups(const Service &service, std::size_t freeVms, std::size_t groupSize)
+{
+    std::size_t largest = 1;
+    for (const ModelProfile &model : service.engine->models)
+        largest = std::max<std::size_t>(largest, model.vmsPerGroup);
+    return freeVms / largest - (freeVms - groupSize) / largest;
+}
+
 // Where the next group forms: the place of the model that chooseModel names that needs the fewest
-// loads, and of these the one with the most free VMs, so that large groups find theirs.
+// loads, then the one that costs the fewest large groups, then the fullest one. So small groups
+// share fabrics, and whole fabrics stay for large groups.
 std::optional<GroupPlace> bestPlace(const Planning &planning, const Service &service,
                                     const FreeVms &freeByFabric)
 {
     std::optional<GroupPlace> best;
-    std::pair<std::size_t, std::size_t> bestRank;
+    std::tuple<std::size_t, std::size_t, std::size_t> bestRank;
     for (const auto &[fabric, free] : freeByFabric) {
         const ModelProfile *model = chooseModel(planning, service, free.size());
         if (!model)
@@ -644,7 +656,8 @@
         const bool mayLoad =
                 !planning.planner.hasTraffic
                 || utilization(planning, service, *model) > planning.planner.options.loadAt;
-        const std::pair rank(loads, std::numeric_limits<std::size_t>::max() - free.size());
+        const std::tuple rank(loads, lostLargeGroups(service, free.size(), model->vmsPerGroup),
+                              free.size());
         if ((loads > 0 && !mayLoad) || (best && rank >= bestRank))
             continue;
         best = GroupPlace{model, fabric};
@@ -653,10 +666,19 @@
     return best;
 }
 
+// Before the first request all VMs are gathered first, so that the groups are spread well.
+bool isGathering(const Planning &planning)
+{
+    const GroupPlanner &planner = planning.planner;
+    if (planner.hasTraffic || planning.now >= planner.settleUntil)
+        return false;
+    return planning.now < planner.gatherUntil
+           || planning.now < planner.lastArrival + planner.options.settleTime;
+}
+
 void formGroups(Planning &planning, const Service &service)
 {
-    // Before the first request all VMs are gathered first, so that the groups are spread well.
-    if (!planning.planner.hasTraffic && planning.now < planning.planner.gatherUntil)
+    if (isGathering(planning))
         return;
     FreeVms freeByFabric;
     for (const auto &[id, endpoint] : planning.table.endpoints) {
@@ -679,6 +701,8 @@
     planner.options = options;
     planner.term = term;
     planner.gatherUntil = now + options.gatherTime;
+    planner.settleUntil = now + options.settleLimit;
+    planner.lastArrival = now;
     planner.nextEpoch = term * EpochsPerTerm + 1;
     return planner;
 }
@@ -687,6 +711,9 @@
                                    const ServiceConfiguration &config, TimePoint now)
 {
     Planning planning{planner, table, config, now, {}};
+    if (table.endpoints.size() > planner.knownVms)
+        planner.lastArrival = now;
+    planner.knownVms = table.endpoints.size();
     dropOverdueOrders(planning);
     std::erase_if(planner.suspects, [&table](const auto &item) {
         const Endpoint *endpoint = findEndpoint(table, item.first);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -94,7 +94,10 @@
     Duration stallMemory = std::chrono::milliseconds(1500); // a reported stall counts this long
     double loadAt = 0.35; // part of a model's slots in use from which weights are loaded for it
     Duration repairTime = std::chrono::milliseconds(1500); // a closing group counts as serving
-    std::uint32_t initialConcurrentLoads = 48;             // before the first request
+    // Before the first request groups form once no VM was added for `settleTime`, or after
+    // `settleLimit`.
+    Duration settleTime = std::chrono::milliseconds(700);
+    Duration settleLimit = std::chrono::milliseconds(6000);
 };
 
 struct GroupPlanner
@@ -103,7 +106,10 @@
     std::uint64_t term = 0;      // of the leader
     std::uint64_t nextEpoch = 1; // above all epochs of earlier leaders
     std::uint64_t nextOrder = 1;
-    TimePoint gatherUntil{}; // until then VMs of unknown groups may not have reported yet
+    TimePoint gatherUntil{};  // until then VMs of unknown groups may not have reported yet
+    TimePoint settleUntil{};  // the latest start of the first groups
+    std::size_t knownVms = 0; // at the last step
+    TimePoint lastArrival{};  // of a VM
     bool hasTraffic = true;
     std::map<std::string, double> sequences;      // in progress, by model, over all entries
     std::map<EndpointId, TimePoint> stalledHeads; // heads without progress, as entries report
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -71,6 +71,8 @@
     bool isHeadSent = false;
     std::optional<TimePoint> firstByteAt;
     TimePoint lastEventAt{};
+    TimePoint lastPassedAt{}; // event that the caller got
+    Duration longestGap{};    // between two of these
     std::optional<HttpHead> failureHead; // failure of an endpoint that is passed on if none helps
     std::string failureBody;
     AttemptEnd lastEnd = AttemptEnd::NotRun;
@@ -540,6 +542,7 @@
                   {"outcome", std::string(outcome)},
                   {"first_ms",
                    progress.firstByteAt ? msText(*progress.firstByteAt - request.arrivedAt) : ""},
+                  {"longest_gap_ms", msText(progress.longestGap)},
                   {"total_ms", msText(now - request.arrivedAt)},
                   {"predicted_first_ms", msText(progress.estimate.firstEvent)},
                   {"candidates", std::to_string(progress.candidates)},
@@ -788,6 +791,9 @@
             state_.progressAt[placement.endpoint] = now;
             if (!progress.firstByteAt)
                 progress.firstByteAt = now;
+            else
+                progress.longestGap = std::max(progress.longestGap, now - progress.lastPassedAt);
+            progress.lastPassedAt = now;
             text += request.head.isHttp11 ? chunk(events) : events;
         }
         if (isComplete && request.head.isHttp11)
--- /dev/null
+++ b/tests/soak/faultproxy.cpp
@@ -0,0 +1,128 @@
+#include "faultproxy.h"
+
+#include "libruntime/address.h"
+#include "libruntime/clock.h"
+#include "libruntime/signal.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto PollInterval = std::chrono::milliseconds(10);
+constexpr std::size_t PieceSize = 16 * 1024;
+
+tcp::endpoint toEndpoint(const std::string &text)
+{
+    const auto address = parseAddress(text);
+    return {asio::ip::make_address(address->host), address->port};
+}
+
+void resetSocket(tcp::socket &socket)
+{
+    boost::system::error_code ended; // the other side may have closed it already
+    socket.set_option(asio::socket_base::linger(true, 0), ended);
+    socket.close(ended);
+}
+
+} // namespace
+
+FaultProxy::FaultProxy(asio::io_context &context, const std::string &listenAddress,
+                       std::string targetAddress)
+    : context_(context)
+    , acceptor_(context, toEndpoint(listenAddress))
+    , target_(std::move(targetAddress))
+{
+    asio::co_spawn(context_, accept(), asio::detached);
+}
+
+void FaultProxy::resetConnections()
+{
+    for (const auto &item : connections_) {
+        if (const ConnectionPointer connection = item.lock()) {
+            resetSocket(connection->client);
+            resetSocket(connection->server);
+        }
+    }
+    connections_.clear();
+}
+
+asio::awaitable<void> FaultProxy::accept()
+{
+    while (true) {
+        auto connection = std::make_shared<Connection>(context_);
+        boost::system::error_code error;
+        co_await acceptor_.async_accept(connection->client,
+                                        asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            continue;
+        std::erase_if(connections_, [](const auto &item) { return item.expired(); });
+        connections_.push_back(connection);
+        asio::co_spawn(context_, serve(connection), asio::detached);
+    }
+}
+
+asio::awaitable<void> FaultProxy::serve(ConnectionPointer connection)
+{
+    boost::system::error_code error;
+    co_await connection->server.async_connect(toEndpoint(target_),
+                                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        resetSocket(connection->client);
+        co_return;
+    }
+    asio::co_spawn(context_, pump(connection, false), asio::detached);
+    asio::co_spawn(context_, pump(connection, true), asio::detached);
+}
+
+// Waits while the fault holds this direction back, and for its delay.
+asio::awaitable<void> FaultProxy::passThrough(bool isAnswer)
+{
+    RuntimeTimer timer(context_);
+    if (fault_.delay > Duration::zero()) {
+        timer.expires_after(fault_.delay);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    while (fault_.holdsAll || (isAnswer && fault_.holdsAnswers)) {
+        timer.expires_after(PollInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> FaultProxy::pump(ConnectionPointer connection, bool isAnswer)
+{
+    Socket &from = isAnswer ? connection->server : connection->client;
+    Socket &to = isAnswer ? connection->client : connection->server;
+    std::array<char, PieceSize> bytes;
+    boost::system::error_code error;
+    while (true) {
+        const std::size_t size = co_await from.async_read_some(
+                asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        co_await passThrough(isAnswer);
+        if (error)
+            break;
+        co_await asio::async_write(to, asio::buffer(bytes.data(), size),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            break;
+    }
+    if (error != asio::error::eof) {
+        resetSocket(connection->client);
+        resetSocket(connection->server);
+        co_return;
+    }
+    boost::system::error_code ended; // the other side may have closed it already
+    to.shutdown(Socket::shutdown_send, ended);
+}
+
+} // namespace Trefoil
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -39,6 +39,26 @@
     checkPromises(fleet);
 }
 
+// Load: 171 VMs in fabric domains of 19 start over 4 s, groups are of 8 and 4 VMs. Each domain has
+// room for 16 VMs in groups, 144 in all: 96 and 48 by the shares of the models.
+BOOST_AUTO_TEST_CASE(groups_fill_large_fabrics_although_vms_arrive_one_by_one)
+{
+    EngineFleet fleet = makeEngineFleet(9, 1, 19);
+    auto &models = fleet.config.services.front().engine->models;
+    models[0].vmsPerGroup = 8;
+    models[1].vmsPerGroup = 4;
+    fleet.planner.hasTraffic = false;
+    Duration arrival{};
+    for (auto &[id, engine] : fleet.engines) {
+        engine.nextReport += arrival;
+        arrival += milliseconds(4000) / fleet.engines.size();
+    }
+    runFleet(fleet, seconds(10));
+    BOOST_CHECK_GE(openGroups(fleet, "large"), 12);
+    BOOST_CHECK_GE(openGroups(fleet, "small"), 11);
+    checkPromises(fleet);
+}
+
 // Load: a VM of a serving group dies; entries see its requests stand still at once, while its last
 // heartbeat is not old enough to count it as lost.
 BOOST_AUTO_TEST_CASE(a_reported_stall_finds_a_lost_member_before_the_loss_timeout)
