libfleet: entries spread requests over stale loads; admission counts the observed overhead of a first event

Load: 66 entries place 290 requests a second on 17 groups and learn of each other's requests 200 ms late. The constant part of a first event that the published parameters leave out (120 ms here) is followed by a low quantile and counts when a request is refused as late: full groups served all of them late otherwise.

Ruled out: slow entries (medians by entry differ by 50 ms only) and slow groups (medians by group likewise).

--- a/src/libfleet/enginemodel.cpp
+++ b/src/libfleet/enginemodel.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+// Steps of the overhead by which a quarter of the observations stay below it, in milliseconds.
+constexpr double OverheadStepUp = 3;
+constexpr double OverheadStepDown = 9;
+constexpr double LargestOverhead = 250;
+
 constexpr double PairsPerPromptToken = 0.5; // a token is paired with each earlier one
 
 Duration fromMs(double ms)
@@ -52,6 +57,7 @@
     const double queueMs = waiting * requestMs / slots;
 
     TimingEstimate estimate;
+    estimate.waitsForSlot = waiting > 0;
     estimate.firstEvent = fromMs(queueMs + pass / 2 + backlog + own + pass);
     const double gap = pass + usualRead * running / passesOfRequest;
     estimate.eventGap = fromMs(gap);
@@ -60,4 +66,14 @@
     return estimate;
 }
 
+void noteFirstEvent(FirstEventOverhead &overhead, const TimingEstimate &estimate, Duration observed)
+{
+    if (estimate.waitsForSlot)
+        return; // its prediction depends on the loads of other entries
+    const double beyond =
+            std::chrono::duration<double, std::milli>(observed - estimate.firstEvent).count();
+    overhead.ms += beyond > overhead.ms ? OverheadStepUp : -OverheadStepDown;
+    overhead.ms = std::clamp(overhead.ms, 0.0, LargestOverhead);
+}
+
 } // namespace Trefoil
--- a/src/libfleet/enginemodel.h
+++ b/src/libfleet/enginemodel.h
@@ -22,7 +22,8 @@
 struct TimingEstimate
 {
     Duration firstEvent{}; // from the handover of the request
-    Duration eventGap{};   // between two events once it runs
+    bool waitsForSlot = false;
+    Duration eventGap{}; // between two events once it runs
     Duration total{};
 };
 
@@ -36,4 +37,15 @@
 TimingEstimate estimateTiming(const EngineProfile &engine, const ModelProfile &model,
                               const GroupLoad &load, const RequestSize &request);
 
+// Constant part of the time to a first event that the published parameters leave out: the engine's
+// own work at the start of a request and the way there. Follows a low quantile of what is observed
+// beyond the prediction, so that single stalls do not raise it.
+struct FirstEventOverhead
+{
+    double ms = 0;
+};
+
+void noteFirstEvent(FirstEventOverhead &overhead, const TimingEstimate &estimate,
+                    Duration observed);
+
 } // namespace Trefoil
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -5,13 +5,16 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
+#include <span>
 
 namespace Trefoil {
 
 namespace {
 
 constexpr double FailureDecay = 0.25;
+constexpr double FailureWeight = 4; // of the failure rate, in predicted times and loads
 constexpr std::uint32_t MinimumSamples = 3;
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(20);
 constexpr Duration MinimumRetryAfter = std::chrono::milliseconds(150);
@@ -26,20 +29,19 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
 }
 
-// Every member of the head's group is there, so that the group can work.
-bool isGroupWhole(const PlacementState &state, const Endpoint &head, std::size_t size,
-                  TimePoint now)
+// Usable members by group and epoch.
+using GroupSizes = std::map<std::pair<std::string_view, std::uint64_t>, std::size_t>;
+
+GroupSizes countMembers(const PlacementState &state, const std::string &service, TimePoint now)
 {
-    const GroupMembership &membership = *head.report.membership;
-    std::size_t members = 0;
+    GroupSizes sizes;
     for (const auto &[id, endpoint] : state.table.endpoints) {
-        const auto &other = endpoint.report.membership;
-        const bool same = other && other->group == membership.group
-                          && other->epoch == membership.epoch
-                          && isUsable(endpoint, state.options.silence, now);
-        members += same ? 1 : 0;
+        const auto &membership = endpoint.report.membership;
+        if (membership && endpoint.report.service == service
+            && isUsable(endpoint, state.options.silence, now))
+            ++sizes[{membership->group, membership->epoch}];
     }
-    return members >= size;
+    return sizes;
 }
 
 bool isServingHead(const Endpoint &endpoint, const std::string &model)
@@ -90,15 +92,74 @@
     return std::clamp(excess, MinimumRetryAfter, std::max(MinimumRetryAfter, request.timeLeft / 3));
 }
 
-bool isTooLate(const PlacementState &state, const PlacementRequest &request,
-               const TimingEstimate &estimate)
+// The predicted time with the overhead that was observed.
+Duration expectedFirstEvent(const PlacementState &state, const PlacementRequest &request,
+                            const TimingEstimate &estimate)
 {
-    if (estimate.firstEvent > request.timeLeft)
+    const auto overhead = state.overheads.find(request.model);
+    return overhead == state.overheads.end() ? estimate.firstEvent
+                                             : estimate.firstEvent + fromMs(overhead->second.ms);
+}
+
+bool isTooLate(const PlacementState &state, const PlacementRequest &request, Duration firstEvent)
+{
+    if (firstEvent > request.timeLeft)
         return true;
     // What is late already is worth serving while its caller waits: a second refusal helps nobody.
     if (request.isResumption || request.targetLeft <= Duration::zero())
         return false;
-    return toMs(estimate.firstEvent) > toMs(request.targetLeft) * state.options.lateTolerance;
+    return toMs(firstEvent) > toMs(request.targetLeft) * state.options.lateTolerance;
+}
+
+void noteArrival(ArrivalRate &rate, Duration window, TimePoint now)
+{
+    const double seconds = std::chrono::duration<double>(window).count();
+    const double passed = std::chrono::duration<double>(now - rate.last).count();
+    rate.perSecond = rate.perSecond * std::exp(-passed / seconds) + 1 / seconds;
+    rate.last = now;
+}
+
+// Load of an engine in requests; engines that fail or refuse count as fuller than they are.
+double effectiveLoad(const PlacementState &state, const Endpoint &endpoint, TimePoint now)
+{
+    double load = totalLoad(state, endpoint.report.id, now).sequences;
+    const EndpointHealth *health = healthOf(state, endpoint);
+    if (!health)
+        return load;
+    load *= 1 + FailureWeight * health->failureRate;
+    if (health->fullUntil > now)
+        load += endpoint.report.slots;
+    return load;
+}
+
+// Picks one of the engines at random, with the weights that even out their loads once all entries
+// have placed what they cannot yet tell each other.
+//
+// Load: many entries learn of each other's requests 200 ms late. If all took the least loaded
+// engine, it would get the requests of all of them at once.
+const Endpoint *pickByStaleLoads(PlacementState &state, std::span<const Endpoint *const> engines,
+                                 double unseen, TimePoint now)
+{
+    std::vector<std::pair<double, const Endpoint *>> loads;
+    for (const Endpoint *engine : engines)
+        loads.emplace_back(effectiveLoad(state, *engine, now), engine);
+    std::sort(loads.begin(), loads.end());
+    // The level to which the unseen requests fill the least loaded engines.
+    double level = 0;
+    double sum = 0;
+    std::size_t filled = 0;
+    for (const auto &[load, engine] : loads) {
+        if (filled > 0 && load >= level)
+            break;
+        sum += load;
+        ++filled;
+        level = (sum + unseen) / static_cast<double>(filled);
+    }
+    std::vector<double> weights;
+    for (std::size_t i = 0; i < filled; ++i)
+        weights.push_back(std::max(level - loads[i].first, 0.0));
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    return loads[pick(state.rng)].second;
 }
 
 } // namespace
@@ -114,12 +175,15 @@
         return found;
     const ModelProfile *profile =
             known->engine && !model.empty() ? findModel(*known->engine, model) : nullptr;
+    const GroupSizes sizes = profile ? countMembers(state, service, now) : GroupSizes{};
     for (const auto &[id, endpoint] : state.table.endpoints) {
         if (endpoint.report.service != service || !isUsable(endpoint, state.options.silence, now))
             continue;
         if (known->engine) {
-            if (!profile || !isServingHead(endpoint, model)
-                || !isGroupWhole(state, endpoint, profile->vmsPerGroup, now))
+            if (!profile || !isServingHead(endpoint, model))
+                continue;
+            const GroupMembership &membership = *endpoint.report.membership;
+            if (sizes.at({membership.group, membership.epoch}) < profile->vmsPerGroup)
                 continue;
         }
         found.push_back(&endpoint);
@@ -134,6 +198,7 @@
     placement.candidates = all.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
     std::uniform_real_distribution<double> spread(1.0, 1.0 + state.options.jitter);
+    std::vector<const Endpoint *> open;
     const Endpoint *best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (const Endpoint *endpoint : all) {
@@ -142,12 +207,13 @@
         const EndpointHealth *health = healthOf(state, *endpoint);
         if (health && health->ejectedUntil > now)
             continue;
+        open.push_back(endpoint);
         const TimingEstimate estimate = estimateAt(state, request, *endpoint, now);
         double cost = toMs(estimate.firstEvent);
         if (health && health->fullUntil > now)
             cost += toMs(health->fullUntil - now) + cost;
         if (health)
-            cost *= 1 + 4 * health->failureRate;
+            cost *= 1 + FailureWeight * health->failureRate;
         if (endpoint->report.domain != state.domain)
             cost += toMs(state.options.sameDomainBonus);
         cost *= spread(state.rng);
@@ -159,13 +225,26 @@
     }
     if (!best)
         return placement;
+    if (!request.model.empty()) {
+        ArrivalRate &rate = state.arrivals[request.model];
+        noteArrival(rate, state.options.rateWindow, now);
+        const double age = std::chrono::duration<double>(state.loadAge).count();
+        const double unseen = rate.perSecond * age * static_cast<double>(state.entries - 1);
+        const Endpoint *picked = pickByStaleLoads(state, open, 1 + unseen, now);
+        const TimingEstimate estimate = estimateAt(state, request, *picked, now);
+        if (!isTooLate(state, request, expectedFirstEvent(state, request, estimate))) {
+            best = picked;
+            placement.estimate = estimate;
+        }
+    }
     placement.endpoint = best->report.id;
     placement.address = best->report.address;
     placement.startedAtMs = best->report.startedAtMs;
     placement.verdict = PlacementVerdict::Send;
-    if (isTooLate(state, request, placement.estimate)) {
+    const Duration expected = expectedFirstEvent(state, request, placement.estimate);
+    if (isTooLate(state, request, expected)) {
         placement.verdict = PlacementVerdict::Overloaded;
-        placement.retryAfter = retryAfter(request, placement.estimate.firstEvent);
+        placement.retryAfter = retryAfter(request, expected);
     }
     return placement;
 }
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -50,6 +50,13 @@
     Duration serviceTime{}; // decaying average of whole answers
 };
 
+// Rate of requests, decaying over `window`.
+struct ArrivalRate
+{
+    double perSecond = 0;
+    TimePoint last{};
+};
+
 struct PlacementOptions
 {
     Duration silence = std::chrono::milliseconds(3200); // without heartbeats
@@ -61,6 +68,7 @@
     double ejectAt = 0.35;      // failure rate
     double lateTolerance = 1.0; // refused when the first event is later than this many targets
     double jitter = 0.08;       // relative random spread of the predicted times
+    Duration rateWindow = std::chrono::seconds(2); // of the rates of requests
 };
 
 struct PlacementState
@@ -70,7 +78,11 @@
     std::unordered_map<EndpointId, EndpointLoad> ownLoads;
     std::map<std::string, PeerLoads> peers;
     std::unordered_map<EndpointId, EndpointHealth> health;
-    std::string domain; // failure domain of this entry
+    std::map<std::string, FirstEventOverhead> overheads; // by model
+    std::map<std::string, ArrivalRate> arrivals;         // at this entry, by model
+    std::size_t entries = 1;                             // that share the endpoints
+    Duration loadAge{};                                  // of what the others told of their loads
+    std::string domain;                                  // failure domain of this entry
     std::mt19937_64 rng;
 };
 
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -373,13 +373,19 @@
         }
     }
     state_.entries = peers_.size() + 1;
+    state_.placement.entries = state_.entries;
+    state_.placement.loadAge = digestInterval();
+}
+
+Duration EntryProcess::digestInterval() const
+{
+    return std::max<Duration>(ShortestDigestInterval,
+                              DigestIntervalPerPeer * static_cast<int>(peers_.size()));
 }
 
 void EntryProcess::sendDigests(TimePoint now)
 {
-    const Duration interval = std::max<Duration>(
-            ShortestDigestInterval, DigestIntervalPerPeer * static_cast<int>(peers_.size()));
-    nextDigest_ = now + interval;
+    nextDigest_ = now + digestInterval();
     const bool isLoaded = !state_.placement.ownLoads.empty();
     if (!isLoaded && !wasLoaded_)
         return;
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -79,6 +79,7 @@
 
     void receiveDigests();
     void takeDigest(const LoadDigest &digest);
+    Duration digestInterval() const;
     void sendDigests(TimePoint now);
     void refreshPeers();
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -809,6 +809,9 @@
         }
         if (!events.empty()) {
             const TimePoint now = RuntimeClock::now();
+            if (!hasProgress && !progress.firstByteAt)
+                noteFirstEvent(state_.placement.overheads[request.model], placement.estimate,
+                               now - progress.lastEventAt);
             if (!hasProgress) {
                 removeLoad(state_.placement, placement.endpoint, {0, load.unreadPromptTokens});
                 load.unreadPromptTokens = 0;
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -69,6 +69,97 @@
     return state;
 }
 
+// Entries that place requests on the same engines and tell each other of their loads now and then.
+struct SharedFleet
+{
+    ServiceConfiguration config;
+    std::vector<PlacementState> entries;
+    std::vector<EndpointId> heads;
+
+    struct Running
+    {
+        TimePoint until;
+        std::size_t entry;
+        EndpointId endpoint;
+    };
+    std::vector<Running> running;
+    std::map<EndpointId, int> loads;
+};
+
+SharedFleet sharedFleet(std::size_t entries, std::size_t groups, Duration loadAge)
+{
+    SharedFleet fleet;
+    Service service;
+    service.name = "bookings";
+    EngineProfile engine;
+    engine.slots = 34;
+    engine.stride = 5;
+    engine.stepMs = 6.07;
+    engine.stepMsPerSequence = 0.241;
+    engine.promptTokensPerSecond = 46'000;
+    engine.usualPromptTokens = 720;
+    engine.usualAnswerTokens = 116;
+    engine.models = {{"m", 1, 1, 1, {}, {}}};
+    service.engine = engine;
+    fleet.config.services = {service};
+    fleet.config.routes = {route("desk", "a.example", "/desk/")};
+    indexConfiguration(fleet.config);
+    for (std::size_t entry = 0; entry < entries; ++entry) {
+        PlacementState state;
+        state.rng.seed(entry + 1);
+        state.entries = entries;
+        state.loadAge = loadAge;
+        state.options.silence = std::chrono::hours(1);
+        for (std::size_t group = 0; group < groups; ++group) {
+            const EndpointId id = "e" + std::to_string(group);
+            EndpointReport head = report(id, "10.0.0.1:" + std::to_string(group + 1), 1, 1);
+            head.slots = engine.slots;
+            head.membership = GroupMembership{groupName("m", 1, id), 1, 0, MembershipPhase::Open};
+            takeReport(state.table, head, {}, Start);
+        }
+        fleet.entries.push_back(std::move(state));
+    }
+    return fleet;
+}
+
+void placeAtRandomEntry(SharedFleet &fleet, std::mt19937_64 &rng, Duration duration, TimePoint now)
+{
+    PlacementRequest request = bookingRequest(fleet.config);
+    request.model = "m";
+    request.size = {720, 116};
+    request.timeLeft = seconds(6);
+    request.targetLeft = seconds(6);
+    const std::size_t entry = rng() % fleet.entries.size();
+    const Placement placement = placeRequest(fleet.entries[entry], request, now);
+    addLoad(fleet.entries[entry], placement.endpoint, {1, 0});
+    ++fleet.loads[placement.endpoint];
+    fleet.running.push_back({now + duration, entry, placement.endpoint});
+}
+
+void endRequests(SharedFleet &fleet, TimePoint now)
+{
+    std::erase_if(fleet.running, [&](const SharedFleet::Running &item) {
+        if (item.until > now)
+            return false;
+        removeLoad(fleet.entries[item.entry], item.endpoint, {1, 0});
+        --fleet.loads[item.endpoint];
+        return true;
+    });
+}
+
+// One entry tells the others of its loads.
+void tellLoads(SharedFleet &fleet, std::size_t teller, TimePoint now)
+{
+    PeerLoads told;
+    told.heardAt = now;
+    for (const auto &[id, load] : fleet.entries[teller].ownLoads)
+        told.loads[loadKey(id)] = load;
+    for (std::size_t entry = 0; entry < fleet.entries.size(); ++entry) {
+        if (entry != teller)
+            fleet.entries[entry].peers[std::to_string(teller)] = told;
+    }
+}
+
 std::string findingsOf(const ServiceConfiguration &config)
 {
     std::string text;
@@ -247,6 +338,67 @@
     BOOST_CHECK(!isUsable(endpoint, silence, later + silence + milliseconds(1)));
 }
 
+// Load: all groups are so full that a first event comes just in time by the published parameters,
+// and 120 ms later in truth. Who is admitted is late then; the others could have come back in time.
+BOOST_AUTO_TEST_CASE(the_observed_overhead_counts_when_requests_are_refused)
+{
+    FirstEventOverhead overhead;
+    TimingEstimate estimate;
+    estimate.firstEvent = milliseconds(100);
+    for (int request = 0; request < 200; ++request) {
+        const bool isStalled = request % 3 == 0;
+        noteFirstEvent(overhead, estimate, milliseconds(isStalled ? 3000 : 220 + request % 10));
+    }
+    BOOST_CHECK_GT(overhead.ms, 110);
+    BOOST_CHECK_LT(overhead.ms, 150);
+    estimate.waitsForSlot = true;
+    const double before = overhead.ms;
+    noteFirstEvent(overhead, estimate, milliseconds(9000));
+    BOOST_CHECK_EQUAL(overhead.ms, before);
+}
+
+// Load: 66 entries place 290 requests a second on 17 groups and tell each other of their loads
+// every 200 ms. A group should never hold twice its even part; all entries that take the least
+// loaded one fill it with 30 requests while others are empty.
+BOOST_AUTO_TEST_CASE(stale_loads_do_not_send_all_requests_to_one_engine)
+{
+    constexpr std::size_t entries = 66;
+    constexpr std::size_t groups = 17;
+    constexpr int steps = 1160; // of one request each
+    constexpr auto step = std::chrono::microseconds(3448);
+    constexpr auto tellInterval = milliseconds(200);
+    constexpr auto duration = milliseconds(800);
+    SharedFleet fleet = sharedFleet(entries, groups, tellInterval);
+    std::mt19937_64 rng(1);
+    TimePoint now = Start;
+    std::vector<TimePoint> nextTell;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+        nextTell.push_back(Start
+                           + tellInterval * static_cast<int>(entry) / static_cast<int>(entries));
+    double excess = 0;
+    int samples = 0;
+    for (int i = 0; i < steps; ++i) {
+        now += step;
+        endRequests(fleet, now);
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            if (nextTell[entry] > now)
+                continue;
+            nextTell[entry] += tellInterval;
+            tellLoads(fleet, entry, now);
+        }
+        placeAtRandomEntry(fleet, rng, duration, now);
+        if (now - Start < 2 * duration)
+            continue;
+        const double even = static_cast<double>(fleet.running.size()) / groups;
+        const auto most =
+                std::max_element(fleet.loads.begin(), fleet.loads.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
+        excess += most->second / even;
+        ++samples;
+    }
+    BOOST_CHECK_LT(excess / samples, 1.6);
+}
+
 BOOST_AUTO_TEST_CASE(loads_are_given_back)
 {
     PlacementState state = twoEndpoints();
