--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -295,6 +295,13 @@
     return seen;
 }
 
+void noteFailure(SoakWorld &world, RequestSort sort, const std::string &what)
+{
+    constexpr const char *sorts[] = {"stream", "booking", "lookup"};
+    ++world.counts.failed;
+    ++world.counts.failures[std::string(sorts[static_cast<std::size_t>(sort)]) + ": " + what];
+}
+
 void checkRefusal(SoakWorld &world, const std::string &id, std::uint32_t status)
 {
     SentRequest &request = world.sent[id];
@@ -307,7 +314,7 @@
                        "booking " + id + " ran and was answered with " + std::to_string(status));
         return;
     }
-    ++world.counts.failed;
+    noteFailure(world, request.sort, "status " + std::to_string(status));
     if (status >= 400 && status < 500)
         noteBroken(world, "request " + id + " was refused with " + std::to_string(status));
 }
@@ -320,7 +327,7 @@
         if (result.status != 0)
             checkRefusal(world, id, result.status);
         else
-            ++world.counts.failed;
+            noteFailure(world, request.sort, "no answer");
         return;
     }
     if (request.sort == RequestSort::Stream) {
@@ -333,7 +340,7 @@
     if (result.isWhole)
         ++world.counts.served;
     else
-        ++world.counts.failed;
+        noteFailure(world, request.sort, "answer cut off");
 }
 
 SentRequest newRequest(SoakWorld &world, const Caller &caller, const std::string &id)
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -158,7 +158,7 @@
         say(world, "answers of " + endpoint.id + " are lost");
         endpoint.lostAnswerShare = 0.3;
         co_await sleepFor(duration);
-        endpoint.lostAnswerShare = 0;
+        endpoint.lostAnswerShare = UsualLostAnswers;
         co_return;
     case 2:
         say(world, "a foreign report for " + endpoint.id);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -56,6 +56,17 @@
         noteBroken(world, "callers are not served after all faults");
 }
 
+void printCounts(const SoakWorld &world)
+{
+    const SoakCounts &counts = world.counts;
+    std::cout << "seed " << world.options.seed << ": " << counts.requests << " requests, "
+              << counts.served << " served, " << counts.refused << " refused, " << counts.failed
+              << " failed; " << counts.faults << " faults, " << counts.published
+              << " configurations" << std::endl;
+    for (const auto &[what, count] : counts.failures)
+        std::cout << "    " << count << " " << what << std::endl;
+}
+
 asio::awaitable<void> play(SoakWorld &world)
 {
     makeEndpoints(world);
@@ -75,6 +86,7 @@
         co_await injectFaults(world);
         co_await checkRecovery(world);
     }
+    printCounts(world);
     // Callers keep using their connections until the processes are gone.
     co_await stopNodes(world);
     world.isOver = true;
@@ -116,11 +128,8 @@
             std::rethrow_exception(failure);
     });
     world.context.run();
-    const SoakCounts &counts = world.counts;
-    std::cout << "seed " << world.options.seed << ": " << counts.requests << " requests, "
-              << counts.served << " served, " << counts.refused << " refused, " << counts.failed
-              << " failed; " << counts.faults << " faults, " << counts.published
-              << " configurations; " << world.broken.size() << " promises broken" << std::endl;
+    std::cout << "seed " << world.options.seed << ": " << world.broken.size() << " promises broken"
+              << std::endl;
     const bool isGood = world.broken.empty();
     if (isGood)
         std::filesystem::remove_all(world.options.folder);
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -46,6 +46,9 @@
     TimePoint disturbedAt{}; // last moment at which a fault touched it
 };
 
+// Part of the answers that plain endpoints lose after they ran a request.
+constexpr double UsualLostAnswers = 0.03;
+
 // A VM with a stand-in endpoint behind a proxy.
 struct SoakEndpoint
 {
@@ -56,11 +59,10 @@
     std::string proxyAddress;
     std::unique_ptr<FaultProxy> proxy;
     std::unique_ptr<ChannelListener> listener;
-    std::uint64_t life = 0;     // connections of earlier lives end
-    EndpointReport report;      // of a plain endpoint; engines have theirs in the fleet
-    std::string reportAddress;  // asked for by the system
-    double lostAnswerShare = 0; // of the requests that it runs
-    bool isHealed() const { return lostAnswerShare == 0; }
+    std::uint64_t life = 0;    // connections of earlier lives end
+    EndpointReport report;     // of a plain endpoint; engines have theirs in the fleet
+    std::string reportAddress; // asked for by the system
+    double lostAnswerShare = UsualLostAnswers; // of the requests that it runs
 };
 
 enum class RequestSort : std::uint8_t { Stream, Booking, Lookup };
@@ -82,6 +84,7 @@
     std::uint64_t served = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
+    std::map<std::string, std::uint64_t> failures; // by what the caller saw
     std::uint64_t published = 0;
     std::uint64_t faults = 0;
 };
