libgateway: a stream is taken from an endpoint only when another one would take it

Seen in the entries' logs: 800 of 17,000 streams ended with 502 'no first event' or were cut after one attempt, because the attempt was given up before it was known that no other group had room. Now a stalled stream is moved only when the retry budget and the placement allow it; otherwise it waits, and the leader is told. The limit for a first event also follows what the entry sees at that endpoint.

--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -60,6 +60,17 @@
     return same ? &found->second : nullptr;
 }
 
+// The health of the endpoint's present life, fresh when another life was known.
+EndpointHealth &healthOfLife(PlacementState &state, const Endpoint &endpoint)
+{
+    EndpointHealth &health = state.health[endpoint.report.id];
+    if (health.startedAtMs != endpoint.report.startedAtMs) {
+        health = EndpointHealth{};
+        health.startedAtMs = endpoint.report.startedAtMs;
+    }
+    return health;
+}
+
 TimingEstimate estimateService(const PlacementState &state, const Endpoint &endpoint, TimePoint now)
 {
     const EndpointHealth *health = healthOf(state, endpoint);
@@ -300,11 +311,7 @@
     const Endpoint *known = findEndpoint(state.table, endpoint);
     if (!known)
         return;
-    EndpointHealth &health = state.health[endpoint];
-    if (health.startedAtMs != known->report.startedAtMs) {
-        health = EndpointHealth{};
-        health.startedAtMs = known->report.startedAtMs;
-    }
+    EndpointHealth &health = healthOfLife(state, *known);
     if (result == EndpointResult::Refused) {
         health.fullUntil = now + state.options.fullPause;
         return;
@@ -324,13 +331,30 @@
         ejectEndpoint(state, endpoint, now);
 }
 
+void noteFirstEventAt(PlacementState &state, const EndpointId &endpoint, Duration observed)
+{
+    const Endpoint *known = findEndpoint(state.table, endpoint);
+    if (!known)
+        return;
+    EndpointHealth &health = healthOfLife(state, *known);
+    health.firstEvent = health.firstEvent == Duration::zero()
+                                ? observed
+                                : health.firstEvent + (observed - health.firstEvent) / 4;
+}
+
+Duration observedFirstEvent(const PlacementState &state, const EndpointId &endpoint)
+{
+    const Endpoint *known = findEndpoint(state.table, endpoint);
+    const EndpointHealth *health = known ? healthOf(state, *known) : nullptr;
+    return health ? health->firstEvent : Duration::zero();
+}
+
 void ejectEndpoint(PlacementState &state, const EndpointId &endpoint, TimePoint now)
 {
     const Endpoint *known = findEndpoint(state.table, endpoint);
     if (!known)
         return;
-    EndpointHealth &health = state.health[endpoint];
-    health.startedAtMs = known->report.startedAtMs;
+    EndpointHealth &health = healthOfLife(state, *known);
     if (health.ejectedUntil > now)
         return;
     const auto factor = static_cast<Duration::rep>(1)
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -26,6 +26,7 @@
 constexpr auto FirstEventLimit = std::chrono::milliseconds(600);  // at least, for the first event
 constexpr double FirstEventFactor = 2.5;                          // of the predicted time
 constexpr auto StuckLimit = std::chrono::milliseconds(1500);      // while others go on there
+constexpr auto MoveRetry = std::chrono::milliseconds(200);        // of a stream with nowhere to go
 constexpr auto StallConfirmation = std::chrono::milliseconds(50); // reads what has arrived first
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
@@ -455,8 +456,7 @@
             return;
         case AttemptEnd::Stalled:
             ejectEndpoint(state_.placement, placement.endpoint, now);
-            state_.stalledAt[placement.endpoint] = now;
-            state_.reportStall();
+            reportStall(placement.endpoint, now);
             logEvent(Event::EndpointEjected, {{"endpoint", placement.endpoint},
                                               {"id", request.id},
                                               {"reason", progress.lastReason}});
@@ -479,6 +479,20 @@
                   {"elapsed_ms", msText(now - request.arrivedAt)}});
     }
 
+    // Tells the leader that an endpoint stands still.
+    void reportStall(const EndpointId &endpoint, TimePoint now)
+    {
+        state_.stalledAt[endpoint] = now;
+        state_.reportStall();
+    }
+
+    // True when another endpoint would take the request now.
+    bool canMove(const RelayRequest &request, const Progress &progress, TimePoint now)
+    {
+        return mayRepeat(state_.retryBudget, state_.entries, now)
+               && place(request, progress, now).verdict == PlacementVerdict::Send;
+    }
+
     // Ends the request towards the caller. Returns whether the connection stays open.
     asio::awaitable<bool> finish(RelayRequest &request, Progress &progress)
     {
@@ -719,8 +733,14 @@
                 overdueSince.reset();
             else if (!overdueSince)
                 overdueSince = now;
-            else if (now >= *overdueSince + StallConfirmation)
-                co_return noteNoProgress(progress, hasProgress, now >= stall.endpointStalledAt);
+            else if (now >= *overdueSince + StallConfirmation) {
+                const bool isStalled = now >= stall.endpointStalledAt;
+                if (canMove(request, progress, now))
+                    co_return noteNoProgress(progress, hasProgress, isStalled);
+                if (isStalled)
+                    reportStall(placement.endpoint, now);
+                overdueSince = now + MoveRetry;
+            }
             co_await signal_.wait(std::min(request.until,
                                            overdueSince ? *overdueSince + StallConfirmation : due));
         }
@@ -751,9 +771,11 @@
             return {};
         const auto predictedFirst = std::chrono::duration_cast<Duration>(
                 placement.estimate.firstEvent * FirstEventFactor);
+        const auto usualFirst = std::chrono::duration_cast<Duration>(
+                observedFirstEvent(state_.placement, placement.endpoint) * FirstEventFactor);
         const Duration limit =
                 hasProgress ? std::max<Duration>(EventGapLimit, 4 * placement.estimate.eventGap)
-                            : std::max<Duration>(FirstEventLimit, predictedFirst);
+                            : std::max({Duration(FirstEventLimit), predictedFirst, usualFirst});
         const auto other = state_.progressAt.find(placement.endpoint);
         const TimePoint endpointSince = other == state_.progressAt.end()
                                                 ? progress.lastEventAt
@@ -809,6 +831,8 @@
         }
         if (!events.empty()) {
             const TimePoint now = RuntimeClock::now();
+            if (!hasProgress)
+                noteFirstEventAt(state_.placement, placement.endpoint, now - progress.lastEventAt);
             if (!hasProgress && !progress.firstByteAt)
                 noteFirstEvent(state_.placement.overheads[request.model], placement.estimate,
                                now - progress.lastEventAt);
