--- a/src/libfleet/retrybudget.cpp
+++ b/src/libfleet/retrybudget.cpp
@@ -28,7 +28,7 @@
     budget.requests[budget.slot % WindowedBudget::Slots] += 1;
 }
 
-bool mayRepeat(WindowedBudget &budget, std::size_t entries, TimePoint now)
+bool tryRepeat(WindowedBudget &budget, std::size_t entries, TimePoint now)
 {
     advance(budget, now);
     const double requests = std::accumulate(budget.requests.begin(), budget.requests.end(), 0.0);
@@ -36,12 +36,7 @@
     const double allowance =
             budget.options.allowance / static_cast<double>(std::max<std::size_t>(entries, 1));
     const double limit = budget.options.safety * (budget.options.ratio * requests + allowance);
-    return repeats + 1 <= limit;
-}
-
-bool tryRepeat(WindowedBudget &budget, std::size_t entries, TimePoint now)
-{
-    if (!mayRepeat(budget, entries, now))
+    if (repeats + 1 > limit)
         return false;
     budget.repeats[budget.slot % WindowedBudget::Slots] += 1;
     return true;
--- a/src/libfleet/retrybudget.h
+++ b/src/libfleet/retrybudget.h
@@ -29,9 +29,6 @@
 
 void noteRequest(WindowedBudget &budget, TimePoint now);
 
-// True when a repeat is left.
-bool mayRepeat(WindowedBudget &budget, std::size_t entries, TimePoint now);
-
 // Takes one repeat out of the budget. `entries` is the number of entries that share the allowance.
 bool tryRepeat(WindowedBudget &budget, std::size_t entries, TimePoint now);
 
--- /dev/null
+++ b/src/libgateway/controllinks.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "libgateway/link.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Trefoil {
+
+// Links to control VMs that this process connects to and keeps. Addresses come from the settings
+// and from other control VMs; one that is no seed is forgotten after a while without a link.
+class ControlLinks
+{
+public:
+    struct Peer
+    {
+        LinkPointer link; // null while not connected
+        bool isConnecting = false;
+        bool isSeed = false;
+        TimePoint retryAt{};
+        TimePoint lastUseful{};
+
+        // What it told last.
+        std::string publicAddress; // for operators
+        std::vector<KnownNode> nodes;
+        std::uint64_t offered = 0; // version of its configuration
+    };
+
+    using HelloMaker = std::function<LinkHello()>;
+    using MessageHandler =
+            std::function<void(const std::string &address, Link &link, LinkMessage &&message)>;
+
+    // Buffers of `capacity` bytes hold the input of each link.
+    ControlLinks(boost::asio::io_context &context, std::string ownAddress, std::size_t capacity,
+                 HelloMaker ownHello, MessageHandler onMessage);
+
+    // Replaces the seeds, which are never forgotten.
+    void setSeeds(std::span<const std::string> addresses);
+    void learn(const std::string &address, bool isSeed);
+
+    // Connects what is not connected. Call often.
+    void connect();
+
+    void sendHello();
+
+    std::map<std::string, Peer> &peers() { return peers_; }
+    const std::map<std::string, Peer> &peers() const { return peers_; }
+    Peer *find(const std::string &address);
+
+private:
+    boost::asio::awaitable<void> connectPeer(std::string address);
+
+    boost::asio::io_context &context_;
+    std::string ownAddress_;
+    std::size_t capacity_;
+    HelloMaker ownHello_;
+    MessageHandler onMessage_;
+    std::map<std::string, Peer> peers_; // by address
+};
+
+} // namespace Trefoil
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -25,9 +25,6 @@
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
 constexpr auto LinkTimeout = std::chrono::milliseconds(2000);
 constexpr auto EntrySilence = std::chrono::milliseconds(1500); // then it leaves the entry list
-constexpr auto ConnectTimeout = std::chrono::milliseconds(600);
-constexpr auto ConnectRetry = std::chrono::milliseconds(300);
-constexpr auto PeerRetention = std::chrono::seconds(60); // of a control VM that is no seed
 constexpr auto EndpointRetention = std::chrono::minutes(5);
 constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
 constexpr auto PublishTimeout = std::chrono::milliseconds(3000);
@@ -92,6 +89,11 @@
     , process_(wallTimeMs())
     , tickTimer_(context)
     , newsTimer_(context)
+    , peers_(
+              context, internalAddress_, ChannelCapacity, [this] { return ownHello(); },
+              [this](const std::string & /*address*/, Link &link, LinkMessage &&message) {
+                  linkMessage(link, std::move(message));
+              })
     , rng_(std::random_device{}())
 {}
 
@@ -138,11 +140,7 @@
 void ControlProcess::reload(const GatewaySettings &settings)
 {
     settings_.seeds = settings.seeds;
-    for (auto &[address, peer] : peers_)
-        peer.isSeed = false;
-    for (const std::string &seed : settings.seeds)
-        learnPeer(seed.substr(0, seed.rfind(':')) + ":" + std::to_string(settings_.internalPort),
-                  true);
+    peers_.setSeeds(seedLinkAddresses(settings_));
 }
 
 void ControlProcess::tick()
@@ -150,13 +148,10 @@
     const TimePoint now = RuntimeClock::now();
     excusePause(table_, std::max(now - tickTimer_.expiry(), Duration::zero()), now);
     seat_->tick();
-    connectPeers();
+    peers_.connect();
     if (now >= nextHello_) {
         nextHello_ = now + HelloInterval;
-        for (auto &[address, peer] : peers_) {
-            if (peer.link)
-                peer.link->send(ownHello());
-        }
+        peers_.sendHello();
         broadcastTopology();
         forgetEndpoints(table_, EndpointRetention, now);
         flushStructuredLog();
@@ -188,60 +183,6 @@
     link->send(ConfigurationOffer{seat_->services().version});
 }
 
-void ControlProcess::learnPeer(const std::string &address, bool isSeed)
-{
-    if (address == internalAddress_ || address.empty())
-        return;
-    Peer &peer = peers_[address];
-    peer.isSeed = peer.isSeed || isSeed;
-    if (peer.lastUseful == TimePoint{})
-        peer.lastUseful = RuntimeClock::now();
-}
-
-void ControlProcess::connectPeers()
-{
-    const TimePoint now = RuntimeClock::now();
-    for (auto &[address, peer] : peers_) {
-        if (peer.link || peer.isConnecting || now < peer.retryAt)
-            continue;
-        peer.isConnecting = true;
-        asio::co_spawn(context_, connectPeer(address), asio::detached);
-    }
-    std::erase_if(peers_, [now](const auto &item) {
-        const Peer &peer = item.second;
-        return !peer.link && !peer.isConnecting && !peer.isSeed
-               && now - peer.lastUseful > PeerRetention;
-    });
-}
-
-asio::awaitable<void> ControlProcess::connectPeer(std::string address)
-{
-    std::string error;
-    ChannelPointer channel =
-            co_await connectChannel(address, ConnectTimeout, ChannelCapacity, error);
-    const auto found = peers_.find(address);
-    if (found == peers_.end())
-        co_return;
-    Peer &peer = found->second;
-    peer.isConnecting = false;
-    peer.retryAt = RuntimeClock::now() + ConnectRetry;
-    if (!channel)
-        co_return;
-    peer.link = std::make_shared<Link>(
-            std::move(channel), LinkTimeout,
-            [this](Link &from, LinkMessage &&message) { linkMessage(from, std::move(message)); },
-            [this, address](Link &, const std::string &reason) {
-                logEvent(Event::LinkLost, {{"peer", address}, {"reason", reason}});
-                const auto lost = peers_.find(address);
-                if (lost != peers_.end())
-                    lost->second.link = nullptr;
-            });
-    peer.lastUseful = RuntimeClock::now();
-    logEvent(Event::LinkConnected, {{"peer", address}});
-    peer.link->start();
-    peer.link->send(ownHello());
-}
-
 void ControlProcess::linkMessage(Link &link, LinkMessage &&message)
 {
     if (auto *hello = std::get_if<LinkHello>(&message)) {
@@ -250,10 +191,9 @@
         hasTraffic_ = hasTraffic_ || link.hello.requests > 0;
         takeEntryFacts(link.hello);
         if (link.hello.kind == NodeKind::Control) {
-            learnPeer(link.hello.internalAddress, false);
-            const auto peer = peers_.find(link.hello.internalAddress);
-            if (peer != peers_.end())
-                peer->second.publicAddress = link.hello.publicAddress;
+            peers_.learn(link.hello.internalAddress, false);
+            if (ControlLinks::Peer *peer = peers_.find(link.hello.internalAddress))
+                peer->publicAddress = link.hello.publicAddress;
         }
         // The answer keeps the link alive in the other direction.
         link.send(ConfigurationOffer{seat_->services().version});
@@ -266,10 +206,9 @@
         for (const KnownNode &node : known->nodes) {
             if (node.kind != NodeKind::Control)
                 continue;
-            learnPeer(node.internalAddress, false);
-            const auto peer = peers_.find(node.internalAddress);
-            if (peer != peers_.end())
-                peer->second.publicAddress = node.publicAddress;
+            peers_.learn(node.internalAddress, false);
+            if (ControlLinks::Peer *peer = peers_.find(node.internalAddress))
+                peer->publicAddress = node.publicAddress;
         }
     } else if (std::get_if<ConfigurationRequest>(&message)) {
         const PublishedServices &services = seat_->services();
@@ -366,15 +305,15 @@
     for (const Seat &seat : seat_->seats()) {
         if (seat.id != message.to)
             continue;
-        const auto peer = peers_.find(seat.entry);
-        if (peer == peers_.end())
-            learnPeer(seat.entry, false);
-        else if (peer->second.link)
-            peer->second.link->send(RaftEnvelope{{std::move(message)}});
+        const ControlLinks::Peer *peer = peers_.find(seat.entry);
+        if (!peer)
+            peers_.learn(seat.entry, false);
+        else if (peer->link)
+            peer->link->send(RaftEnvelope{{std::move(message)}});
         return;
     }
     // A vote or reply may go to a seat that is not in the own seat set yet.
-    for (auto &[address, peer] : peers_) {
+    for (auto &[address, peer] : peers_.peers()) {
         if (peer.link && peer.link->hasHello && peer.link->hello.seat == message.to) {
             peer.link->send(RaftEnvelope{{std::move(message)}});
             return;
@@ -384,9 +323,9 @@
         const bool isTarget = link->hasHello && link->hello.seat == message.to;
         if (!isTarget)
             continue;
-        const auto peer = peers_.find(link->hello.internalAddress);
-        if (peer != peers_.end() && peer->second.link)
-            peer->second.link->send(RaftEnvelope{{std::move(message)}});
+        const ControlLinks::Peer *peer = peers_.find(link->hello.internalAddress);
+        if (peer && peer->link)
+            peer->link->send(RaftEnvelope{{std::move(message)}});
         return;
     }
 }
@@ -582,15 +521,14 @@
     for (const Seat &seat : seat_->seats()) {
         if (seat.id != leader || leader == seat_->id())
             continue;
-        const auto peer = peers_.find(seat.entry);
-        const bool known =
-                peer != peers_.end() && peer->second.link && !peer->second.publicAddress.empty();
+        const ControlLinks::Peer *peer = peers_.find(seat.entry);
+        const bool known = peer && peer->link && !peer->publicAddress.empty();
         if (!known)
             break;
         ServerResponse response;
         response.status = 307;
         response.fields.push_back(
-                {"Location", "http://" + peer->second.publicAddress + request.head.target});
+                {"Location", "http://" + peer->publicAddress + request.head.target});
         return response;
     }
     return failure(503, "no leader is known");
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "libgateway/controllinks.h"
 #include "libgateway/controlseatkeeper.h"
 #include "libgateway/endpointpool.h"
 #include "libgateway/gatewaysettings.h"
-#include "libgateway/link.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -32,24 +32,11 @@
     void reload(const GatewaySettings &settings);
 
 private:
-    struct Peer
-    {
-        LinkPointer link; // null while not connected
-        bool isConnecting = false;
-        TimePoint retryAt{};
-        TimePoint lastUseful{};
-        bool isSeed = false;
-        std::string publicAddress; // for operators
-    };
-
     // Timers.
     void tick();
 
     // Links.
     void accepted(ChannelPointer channel);
-    void connectPeers();
-    boost::asio::awaitable<void> connectPeer(std::string address);
-    void learnPeer(const std::string &address, bool isSeed);
     void linkMessage(Link &link, LinkMessage &&message);
     void takeEntryFacts(const LinkHello &hello);
     std::string reportAddress() const;
@@ -101,7 +88,7 @@
     RuntimeTimer tickTimer_;
     RuntimeTimer newsTimer_;
 
-    std::map<std::string, Peer> peers_;      // links to other control VMs, by address
+    ControlLinks peers_;                     // to other control VMs
     std::map<Link *, LinkPointer> accepted_; // links from entries and control VMs
     Topology lastTopology_;
     EndpointTable table_;
--- a/src/libgateway/controlseatkeeper.cpp
+++ b/src/libgateway/controlseatkeeper.cpp
@@ -21,20 +21,6 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-std::string hostOf(const std::string &address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
-std::vector<EntryId> seedEntries(const GatewaySettings &settings)
-{
-    std::vector<EntryId> entries;
-    for (const std::string &seed : settings.seeds)
-        entries.push_back(hostOf(seed) + ":" + std::to_string(settings.internalPort));
-    std::sort(entries.begin(), entries.end());
-    return entries;
-}
-
 // Gives an empty folder its identity. Only at the very first start do the seeds hold the first
 // seats; a wiped folder gets a new identity that no seat set names yet.
 void ensureIdentity(LogStore &store, const GatewaySettings &settings)
@@ -42,7 +28,8 @@
     if (store.hasIdentity())
         return;
     const EntryId self = settings.address + ":" + std::to_string(settings.internalPort);
-    const std::vector<EntryId> seeds = seedEntries(settings);
+    std::vector<EntryId> seeds = seedLinkAddresses(settings);
+    std::sort(seeds.begin(), seeds.end());
     const bool isSeed = std::find(seeds.begin(), seeds.end(), self) != seeds.end();
     if (settings.isFirstStart && isSeed)
         store.createIdentity(initialSeatId(self), initialSeats(seeds));
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -21,10 +21,6 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
-constexpr auto LinkTimeout = std::chrono::milliseconds(2000);
-constexpr auto ConnectTimeout = std::chrono::milliseconds(600);
-constexpr auto ConnectRetry = std::chrono::milliseconds(300);
-constexpr auto ControlRetention = std::chrono::seconds(60); // of a control VM that is no seed
 constexpr auto EndpointRetention = std::chrono::minutes(5);
 // Pause after a document, by its size, so that reading a series of them leaves time for requests.
 constexpr auto ConfigurationPausePerByte = std::chrono::microseconds(1);
@@ -82,6 +78,11 @@
     , process_(wallTimeMs())
     , digests_(context, toUdpEndpoint(internalAddress_))
     , tickTimer_(context)
+    , controls_(
+              context, internalAddress_, LinkCapacity, [this] { return ownHello(); },
+              [this](const std::string &address, Link & /*link*/, LinkMessage &&message) {
+                  linkMessage(address, std::move(message));
+              })
 {}
 
 EntryProcess::~EntryProcess() = default;
@@ -134,7 +135,7 @@
     stopped_ = std::move(done);
     state_.isDraining = true;
     state_.drainingSince = RuntimeClock::now();
-    sendHello();
+    controls_.sendHello();
     for (Signal *signal : state_.sessionSignals)
         signal->notify();
 }
@@ -142,12 +143,7 @@
 void EntryProcess::reload(const GatewaySettings &settings)
 {
     state_.settings.seeds = settings.seeds;
-    for (auto &[address, control] : controls_)
-        control.isSeed = false;
-    for (const std::string &seed : settings.seeds)
-        learnControl(seed.substr(0, seed.rfind(':')) + ":"
-                             + std::to_string(state_.settings.internalPort),
-                     true);
+    controls_.setSeeds(seedLinkAddresses(state_.settings));
 }
 
 void EntryProcess::tick()
@@ -160,11 +156,11 @@
                                                 .count())}});
     lastTick_ = now;
     excusePause(state_.placement.table, std::max(now - tickTimer_.expiry(), Duration::zero()), now);
-    connectControls();
+    controls_.connect();
     requestConfiguration();
     if (now >= nextHello_) {
         nextHello_ = now + HelloInterval;
-        sendHello();
+        controls_.sendHello();
         for (const auto &[id, at] : state_.progressAt) {
             if (const Endpoint *endpoint = findEndpoint(state_.placement.table, id))
                 takeProgress(state_.placement.table, id, endpoint->report.startedAtMs, now - at,
@@ -190,90 +186,34 @@
 
 // ---- Control VMs
 
-void EntryProcess::learnControl(const std::string &address, bool isSeed)
+void EntryProcess::linkMessage(const std::string &address, LinkMessage &&message)
 {
-    if (address.empty())
+    ControlLinks::Peer *control = controls_.find(address);
+    if (!control)
         return;
-    ControlLink &control = controls_[address];
-    control.isSeed = control.isSeed || isSeed;
-    if (control.lastUseful == TimePoint{})
-        control.lastUseful = RuntimeClock::now();
-}
-
-void EntryProcess::connectControls()
-{
-    const TimePoint now = RuntimeClock::now();
-    for (auto &[address, control] : controls_) {
-        if (control.link || control.isConnecting || now < control.retryAt)
-            continue;
-        control.isConnecting = true;
-        asio::co_spawn(context_, connectControl(address), asio::detached);
-    }
-    std::erase_if(controls_, [now](const auto &item) {
-        const ControlLink &control = item.second;
-        return !control.link && !control.isConnecting && !control.isSeed
-               && now - control.lastUseful > ControlRetention;
-    });
-}
-
-asio::awaitable<void> EntryProcess::connectControl(std::string address)
-{
-    std::string error;
-    ChannelPointer channel = co_await connectChannel(address, ConnectTimeout, LinkCapacity, error);
-    const auto found = controls_.find(address);
-    if (found == controls_.end())
-        co_return;
-    ControlLink &control = found->second;
-    control.isConnecting = false;
-    control.retryAt = RuntimeClock::now() + ConnectRetry;
-    if (!channel)
-        co_return;
-    control.link = std::make_shared<Link>(
-            std::move(channel), LinkTimeout,
-            [this, address](Link &link, LinkMessage &&message) {
-                linkMessage(address, link, std::move(message));
-            },
-            [this, address](Link &, const std::string &reason) {
-                logEvent(Event::LinkLost, {{"peer", address}, {"reason", reason}});
-                const auto lost = controls_.find(address);
-                if (lost == controls_.end())
-                    return;
-                lost->second.link = nullptr;
-                lost->second.offered = 0;
-            });
-    control.lastUseful = RuntimeClock::now();
-    logEvent(Event::LinkConnected, {{"peer", address}});
-    control.link->start();
-    control.link->send(ownHello());
-}
-
-void EntryProcess::linkMessage(const std::string &address, Link &link, LinkMessage &&message)
-{
-    ControlLink &control = controls_[address];
     if (auto *news = std::get_if<EndpointNews>(&message)) {
         applyNews(state_.placement.table, *news, RuntimeClock::now());
     } else if (auto *known = std::get_if<Topology>(&message)) {
-        control.nodes = std::move(known->nodes);
-        for (const KnownNode &node : control.nodes) {
+        control->nodes = std::move(known->nodes);
+        for (const KnownNode &node : control->nodes) {
             if (node.kind == NodeKind::Control)
-                learnControl(node.internalAddress, false);
+                controls_.learn(node.internalAddress, false);
         }
         refreshPeers();
     } else if (const auto *offer = std::get_if<ConfigurationOffer>(&message)) {
-        control.offered = offer->version;
+        control->offered = offer->version;
         requestConfiguration();
     } else if (const auto *document = std::get_if<ConfigurationDocument>(&message)) {
         takeDocument(*document);
     }
-    control.lastUseful = link.lastHeard;
 }
 
 // Asks one of the control VMs that offer the newest version.
 void EntryProcess::requestConfiguration()
 {
     std::uint64_t newest = state_.config ? state_.config->version : 0;
-    ControlLink *best = nullptr;
-    for (auto &[address, control] : controls_) {
+    ControlLinks::Peer *best = nullptr;
+    for (auto &[address, control] : controls_.peers()) {
         if (control.link && control.offered > newest) {
             newest = control.offered;
             best = &control;
@@ -340,7 +280,7 @@
             hello.stalled.push_back(id);
     }
     hello.sequences = state_.sequences;
-    for (const auto &[address, control] : controls_) {
+    for (const auto &[address, control] : controls_.peers()) {
         for (const KnownNode &node : control.nodes) {
             if (!control.link || node.leadsInTerm <= hello.leaderTerm)
                 continue;
@@ -351,20 +291,12 @@
     return hello;
 }
 
-void EntryProcess::sendHello()
-{
-    for (auto &[address, control] : controls_) {
-        if (control.link)
-            control.link->send(ownHello());
-    }
-}
-
 // ---- Loads of the other entries
 
 void EntryProcess::refreshPeers()
 {
     peers_.clear();
-    for (const auto &[address, control] : controls_) {
+    for (const auto &[address, control] : controls_.peers()) {
         if (!control.link)
             continue;
         for (const KnownNode &node : control.nodes) {
@@ -463,7 +395,7 @@
     for (const auto &[id, endpoint] : state_.placement.table.endpoints)
         usable += isUsable(endpoint, state_.placement.options.silence, now) ? 1 : 0;
     std::size_t links = 0;
-    for (const auto &[address, control] : controls_)
+    for (const auto &[address, control] : controls_.peers())
         links += control.link ? 1 : 0;
     const auto set = [&metrics](const std::string &name, double value) {
         metrics.setGauge("trefoil_" + name, "", value);
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "libgateway/controllinks.h"
 #include "libgateway/endpointpool.h"
 #include "libgateway/gatewaysettings.h"
-#include "libgateway/link.h"
 #include "libruntime/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,26 +56,11 @@
     void reload(const GatewaySettings &settings);
 
 private:
-    struct ControlLink
-    {
-        LinkPointer link;
-        bool isConnecting = false;
-        bool isSeed = false;
-        TimePoint retryAt{};
-        TimePoint lastUseful{};
-        std::vector<KnownNode> nodes; // its last topology
-        std::uint64_t offered = 0;
-    };
-
     void tick();
-    void learnControl(const std::string &address, bool isSeed);
-    void connectControls();
-    boost::asio::awaitable<void> connectControl(std::string address);
-    void linkMessage(const std::string &address, Link &link, LinkMessage &&message);
+    void linkMessage(const std::string &address, LinkMessage &&message);
     void takeDocument(const ConfigurationDocument &document);
     void requestConfiguration();
     LinkHello ownHello() const;
-    void sendHello();
 
     void receiveDigests();
     void takeDigest(const LoadDigest &digest);
@@ -97,7 +82,7 @@
     std::unique_ptr<ChannelListener> metricsListener_;
     boost::asio::ip::udp::socket digests_;
     RuntimeTimer tickTimer_;
-    std::map<std::string, ControlLink> controls_;
+    ControlLinks controls_;
     std::map<std::string, KnownNode> peers_; // other entries by name
     std::uint64_t digestSequence_ = 0;
     TimePoint nextDigest_{};
--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -76,6 +76,15 @@
 
 } // namespace
 
+std::vector<std::string> seedLinkAddresses(const GatewaySettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &seed : settings.seeds)
+        addresses.push_back(seed.substr(0, seed.rfind(':')) + ":"
+                            + std::to_string(settings.internalPort));
+    return addresses;
+}
+
 LoadedGatewaySettings readGatewaySettings(const std::string &text, const std::string &file)
 {
     LoadedGatewaySettings loaded;
--- a/src/libgateway/gatewaysettings.h
+++ b/src/libgateway/gatewaysettings.h
@@ -42,6 +42,9 @@
     std::vector<Finding> findings; // settings are usable only when empty
 };
 
+// Addresses at which the seeds take links; the settings name those for operators.
+std::vector<std::string> seedLinkAddresses(const GatewaySettings &settings);
+
 LoadedGatewaySettings loadGatewaySettings(const std::string &path);
 LoadedGatewaySettings readGatewaySettings(const std::string &text, const std::string &file);
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -486,11 +486,11 @@
         state_.reportStall();
     }
 
-    // True when another endpoint would take the request now.
+    // True when another endpoint would take the request now. Without a repeat left in the budget
+    // the request ends, and its caller may come back to that endpoint.
     bool canMove(const RelayRequest &request, const Progress &progress, TimePoint now)
     {
-        return mayRepeat(state_.retryBudget, state_.entries, now)
-               && place(request, progress, now).verdict == PlacementVerdict::Send;
+        return place(request, progress, now).verdict == PlacementVerdict::Send;
     }
 
     // Ends the request towards the caller. Returns whether the connection stays open.
