--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -331,24 +331,6 @@
         ejectEndpoint(state, endpoint, now);
 }
 
-void noteFirstEventAt(PlacementState &state, const EndpointId &endpoint, Duration observed)
-{
-    const Endpoint *known = findEndpoint(state.table, endpoint);
-    if (!known)
-        return;
-    EndpointHealth &health = healthOfLife(state, *known);
-    health.firstEvent = health.firstEvent == Duration::zero()
-                                ? observed
-                                : health.firstEvent + (observed - health.firstEvent) / 4;
-}
-
-Duration observedFirstEvent(const PlacementState &state, const EndpointId &endpoint)
-{
-    const Endpoint *known = findEndpoint(state.table, endpoint);
-    const EndpointHealth *health = known ? healthOf(state, *known) : nullptr;
-    return health ? health->firstEvent : Duration::zero();
-}
-
 void ejectEndpoint(PlacementState &state, const EndpointId &endpoint, TimePoint now)
 {
     const Endpoint *known = findEndpoint(state.table, endpoint);
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -48,7 +48,6 @@
     TimePoint ejectedUntil{};
     TimePoint fullUntil{};  // refused a request as full
     Duration serviceTime{}; // decaying average of whole answers
-    Duration firstEvent{};  // decaying average of the times to first events
 };
 
 // Rate of requests, decaying over `window`.
@@ -130,12 +129,6 @@
 void noteAttempt(PlacementState &state, const EndpointId &endpoint, EndpointResult result,
                  Duration duration, TimePoint now);
 
-// Notes the time to the first event of a stream.
-void noteFirstEventAt(PlacementState &state, const EndpointId &endpoint, Duration observed);
-
-// The average time to first events that this entry saw at the endpoint, 0 when it saw none.
-Duration observedFirstEvent(const PlacementState &state, const EndpointId &endpoint);
-
 // Takes the endpoint out at once, for example after its streams stood still.
 void ejectEndpoint(PlacementState &state, const EndpointId &endpoint, TimePoint now);
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -26,7 +26,6 @@
 constexpr auto FirstEventLimit = std::chrono::milliseconds(600);  // at least, for the first event
 constexpr double FirstEventFactor = 2.5;                          // of the predicted time
 constexpr auto StuckLimit = std::chrono::milliseconds(1500);      // while others go on there
-constexpr auto MoveRetry = std::chrono::milliseconds(200);        // of a stream with nowhere to go
 constexpr auto StallConfirmation = std::chrono::milliseconds(50); // reads what has arrived first
 constexpr std::size_t AnswerCapacity = 256 * 1024;
 constexpr std::size_t MaxAnswerHeader = 64 * 1024;
@@ -486,13 +485,6 @@
         state_.reportStall();
     }
 
-    // True when another endpoint would take the request now. Without a repeat left in the budget
-    // the request ends, and its caller may come back to that endpoint.
-    bool canMove(const RelayRequest &request, const Progress &progress, TimePoint now)
-    {
-        return place(request, progress, now).verdict == PlacementVerdict::Send;
-    }
-
     // Ends the request towards the caller. Returns whether the connection stays open.
     asio::awaitable<bool> finish(RelayRequest &request, Progress &progress)
     {
@@ -733,14 +725,8 @@
                 overdueSince.reset();
             else if (!overdueSince)
                 overdueSince = now;
-            else if (now >= *overdueSince + StallConfirmation) {
-                const bool isStalled = now >= stall.endpointStalledAt;
-                if (canMove(request, progress, now))
-                    co_return noteNoProgress(progress, hasProgress, isStalled);
-                if (isStalled)
-                    reportStall(placement.endpoint, now);
-                overdueSince = now + MoveRetry;
-            }
+            else if (now >= *overdueSince + StallConfirmation)
+                co_return noteNoProgress(progress, hasProgress, now >= stall.endpointStalledAt);
             co_await signal_.wait(std::min(request.until,
                                            overdueSince ? *overdueSince + StallConfirmation : due));
         }
@@ -771,11 +757,9 @@
             return {};
         const auto predictedFirst = std::chrono::duration_cast<Duration>(
                 placement.estimate.firstEvent * FirstEventFactor);
-        const auto usualFirst = std::chrono::duration_cast<Duration>(
-                observedFirstEvent(state_.placement, placement.endpoint) * FirstEventFactor);
         const Duration limit =
                 hasProgress ? std::max<Duration>(EventGapLimit, 4 * placement.estimate.eventGap)
-                            : std::max({Duration(FirstEventLimit), predictedFirst, usualFirst});
+                            : std::max<Duration>(FirstEventLimit, predictedFirst);
         const auto other = state_.progressAt.find(placement.endpoint);
         const TimePoint endpointSince = other == state_.progressAt.end()
                                                 ? progress.lastEventAt
@@ -831,8 +815,6 @@
         }
         if (!events.empty()) {
             const TimePoint now = RuntimeClock::now();
-            if (!hasProgress)
-                noteFirstEventAt(state_.placement, placement.endpoint, now - progress.lastEventAt);
             if (!hasProgress && !progress.firstByteAt)
                 noteFirstEvent(state_.placement.overheads[request.model], placement.estimate,
                                now - progress.lastEventAt);
