--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -338,7 +338,11 @@
         std::uniform_real_distribution<double> point(0, 1);
         request.service = pickService(*request.route, point(state_.placement.rng));
         const HeaderNames &names = state_.dialect.headers;
-        if (const std::string *model = findField(request.head, names.model))
+        // Plain services have no models; what callers name there must not reach the tables by
+        // model.
+        const Service *service = findService(*request.config, request.service);
+        const std::string *model = findField(request.head, names.model);
+        if (model && service && service->engine)
             request.model = *model;
         if (const std::string *tokens = findField(request.head, names.tokenCount)) {
             const std::size_t comma = tokens->find(',');
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -239,6 +239,19 @@
     BOOST_CHECK_LE(std::stoi(*findField(head, "X-Trefoilrun-Request-Deadline")), 4000);
 }
 
+// Load: a caller sends another model name with each request to a service that has no models.
+BOOST_AUTO_TEST_CASE(model_names_at_a_plain_service_are_passed_on_and_not_kept)
+{
+    World world;
+    world.publish(RouteKind::NonIdempotent, 1);
+    world.first.answers = {success("booked")};
+    world.exchange(request(Key + "X-Trefoilrun-Model-Name: made-up\r\n", ""), "booked");
+    BOOST_CHECK_EQUAL(*findField(world.first.heads.at(0), "X-Trefoilrun-Model-Name"), "made-up");
+    BOOST_CHECK(!world.state.sequences.contains("made-up"));
+    BOOST_CHECK(world.state.placement.arrivals.empty());
+    BOOST_CHECK(world.state.placement.overheads.empty());
+}
+
 BOOST_AUTO_TEST_CASE(requests_without_a_known_key_or_route_are_refused)
 {
     World unknownKey;
