--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -3,9 +3,12 @@
 #include "libruntime/clock.h"
 
 #include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
+#include <sys/prctl.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -27,6 +30,12 @@
     return "\"" + text + "\"";
 }
 
+// A process ends with the soak, also when that is killed.
+void endWithParent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void writeSettings(const SoakWorld &world, const SoakNode &node)
 {
     std::filesystem::create_directories(node.folder);
@@ -63,7 +72,8 @@
             world.options.daemon,
             process::args({"--gateway", node.role, "--settings", node.folder + "/settings.yaml"}),
             process::std_out > log, process::std_err > log, process::std_in < process::null,
-            process::limit_handles);
+            process::limit_handles,
+            process::extend::on_exec_setup([](auto & /*executor*/) { endWithParent(); }));
     std::fclose(log);
     node.isFirstStart = false;
     node.isMeantToRun = true;
