libfleet: loads and predictions are worked out once for each request and endpoint

Placement added up the loads of all entries twice for each engine (once for the cheapest one, once for the draw by stale loads), and predicted the drawn one again: with 17 groups and 66 entries about 2,200 look-ups for a request instead of 1,100. One list of open endpoints now holds load and prediction; cost and choice are functions of it. The size test in modelToStage could not fail, and the reason of a missing member was a nested condition. No decision changes; ties between equal loads go by the candidates' order instead of their memory address.

--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -168,19 +168,24 @@
     const char *reason = "";
 };
 
+// Why an endpoint is not usable, by what was heard of it lately, null when nothing was.
+const char *unusableReason(const Endpoint *heard)
+{
+    if (!heard)
+        return "is silent";
+    if (heard->report.isDraining)
+        return "drains";
+    return heard->hasLeft ? "leaves" : "was replaced";
+}
+
 // A member that is lost for good or about to leave.
 std::optional<MissingMember> missingMember(const Planning &planning, const FleetGroup &group)
 {
     const bool stalled = isStalled(planning, group);
     for (const EndpointId &id : group.members) {
         const Endpoint *endpoint = planning.usable(id);
-        if (!endpoint) {
-            const Endpoint *known = planning.heard(id);
-            return MissingMember{id, known && known->report.isDraining ? "drains"
-                                     : known && known->hasLeft         ? "leaves"
-                                     : known && known->isSucceeded     ? "was replaced"
-                                                                       : "is silent"};
-        }
+        if (!endpoint)
+            return MissingMember{id, unusableReason(planning.heard(id))};
         const Duration silence = planning.now - endpoint->lastReport;
         const bool isDoubtful = stalled || group.stage == GroupStage::Forming;
         if (isDoubtful && silence > planning.planner.options.stalledLossTimeout)
@@ -227,15 +232,13 @@
     planner.suspects[id] = now;
 }
 
-void startClosing(Planning &planning, FleetGroup &group, const MissingMember &member)
+void startClosing(Planning &planning, FleetGroup &group, const MissingMember &missing)
 {
-    const EndpointId &missing = member.id;
-    group.closeReason = missing + " " + member.reason;
-    suspect(planning.planner, missing, planning.now);
-    const bool planned =
-            planning.heard(missing) != nullptr
-            && (planning.heard(missing)->report.isDraining || planning.heard(missing)->hasLeft);
-    group.closeMode = planned ? CloseMode::FinishRequests : CloseMode::CutRequests;
+    group.closeReason = missing.id + " " + missing.reason;
+    suspect(planning.planner, missing.id, planning.now);
+    const Endpoint *heard = planning.heard(missing.id);
+    const bool isPlanned = heard && (heard->report.isDraining || heard->hasLeft);
+    group.closeMode = isPlanned ? CloseMode::FinishRequests : CloseMode::CutRequests;
     setStage(group, GroupStage::Closing, planning.now);
 }
 
@@ -614,8 +617,7 @@
             chosen = &model;
         }
     }
-    const bool isLarge = whole && whole->vmsPerGroup > 1 && spares.size() >= whole->vmsPerGroup;
-    return isLarge ? whole : chosen;
+    return whole && whole->vmsPerGroup > 1 ? whole : chosen;
 }
 
 // Loads models onto spare VMs that hold none, so that a later repair is fast.
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -71,12 +71,11 @@
     return health;
 }
 
-TimingEstimate estimateService(const PlacementState &state, const Endpoint &endpoint, TimePoint now)
+TimingEstimate estimateService(const Endpoint &endpoint, const EndpointHealth *health,
+                               const GroupLoad &load)
 {
-    const EndpointHealth *health = healthOf(state, endpoint);
     const Duration service = health && health->serviceTime > Duration::zero() ? health->serviceTime
                                                                               : DefaultServiceTime;
-    const GroupLoad load = totalLoad(state, endpoint.report.id, now);
     const double slots = std::max<double>(endpoint.report.slots, 1);
     const double waiting = std::max(0.0, load.sequences + 1 - slots) / slots;
     TimingEstimate estimate;
@@ -85,15 +84,22 @@
     return estimate;
 }
 
-TimingEstimate estimateAt(const PlacementState &state, const PlacementRequest &request,
-                          const Endpoint &endpoint, TimePoint now)
+// An endpoint that may take the request, with what the decision needs of it.
+struct OpenEndpoint
+{
+    const Endpoint *endpoint = nullptr;
+    const EndpointHealth *health = nullptr; // null when this entry has not used it
+    GroupLoad load;
+    TimingEstimate estimate;
+};
+
+TimingEstimate estimateAt(const PlacementRequest &request, const OpenEndpoint &open)
 {
     const Service *service = findService(*request.config, request.service);
     if (!service->engine)
-        return estimateService(state, endpoint, now);
+        return estimateService(*open.endpoint, open.health, open.load);
     const ModelProfile *model = findModel(*service->engine, request.model);
-    return estimateTiming(*service->engine, *model, totalLoad(state, endpoint.report.id, now),
-                          request.size);
+    return estimateTiming(*service->engine, *model, open.load, request.size);
 }
 
 // When the predicted wait will have shrunk to what the target allows.
@@ -131,16 +137,26 @@
 }
 
 // Load of an engine in requests; engines that fail or refuse count as fuller than they are.
-double effectiveLoad(const PlacementState &state, const Endpoint &endpoint, TimePoint now)
+double effectiveLoad(const OpenEndpoint &open, TimePoint now)
+{
+    if (!open.health)
+        return open.load.sequences;
+    const double load = open.load.sequences * (1 + FailureWeight * open.health->failureRate);
+    return open.health->fullUntil > now ? load + open.endpoint->report.slots : load;
+}
+
+// Predicted time to the first event in milliseconds, longer for endpoints that fail, refuse or are
+// far.
+double costOf(const PlacementState &state, const OpenEndpoint &open, TimePoint now)
 {
-    double load = totalLoad(state, endpoint.report.id, now).sequences;
-    const EndpointHealth *health = healthOf(state, endpoint);
-    if (!health)
-        return load;
-    load *= 1 + FailureWeight * health->failureRate;
-    if (health->fullUntil > now)
-        load += endpoint.report.slots;
-    return load;
+    double cost = toMs(open.estimate.firstEvent);
+    if (open.health && open.health->fullUntil > now)
+        cost += toMs(open.health->fullUntil - now) + cost;
+    if (open.health)
+        cost *= 1 + FailureWeight * open.health->failureRate;
+    if (open.endpoint->report.domain != state.domain)
+        cost += toMs(state.options.sameDomainBonus);
+    return cost;
 }
 
 // Picks one of the engines at random, with the weights that even out their loads once all entries
@@ -148,12 +164,12 @@
 //
 // Load: many entries learn of each other's requests 200 ms late. If all took the least loaded
 // engine, it would get the requests of all of them at once.
-const Endpoint *pickByStaleLoads(PlacementState &state, std::span<const Endpoint *const> engines,
-                                 double unseen, TimePoint now)
+const OpenEndpoint &pickByStaleLoads(PlacementState &state, std::span<const OpenEndpoint> engines,
+                                     double unseen, TimePoint now)
 {
-    std::vector<std::pair<double, const Endpoint *>> loads;
-    for (const Endpoint *engine : engines)
-        loads.emplace_back(effectiveLoad(state, *engine, now), engine);
+    std::vector<std::pair<double, const OpenEndpoint *>> loads;
+    for (const OpenEndpoint &engine : engines)
+        loads.emplace_back(effectiveLoad(engine, now), &engine);
     std::sort(loads.begin(), loads.end());
     // The level to which the unseen requests fill the least loaded engines.
     double level = 0;
@@ -170,7 +186,41 @@
     for (std::size_t i = 0; i < filled; ++i)
         weights.push_back(std::max(level - loads[i].first, 0.0));
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-    return loads[pick(state.rng)].second;
+    return *loads[pick(state.rng)].second;
+}
+
+// The endpoints that this request has not tried and that are not taken out.
+std::vector<OpenEndpoint> openEndpoints(const PlacementState &state,
+                                        const PlacementRequest &request,
+                                        std::span<const Endpoint *const> all, TimePoint now)
+{
+    std::vector<OpenEndpoint> open;
+    for (const Endpoint *endpoint : all) {
+        const EndpointHealth *health = healthOf(state, *endpoint);
+        const bool isEjected = health && health->ejectedUntil > now;
+        if (isEjected || request.tried.contains(endpoint->report.id))
+            continue;
+        open.push_back({endpoint, health, totalLoad(state, endpoint->report.id, now), {}});
+        open.back().estimate = estimateAt(request, open.back());
+    }
+    return open;
+}
+
+// The endpoint with the lowest cost, with a small random spread among like ones.
+const OpenEndpoint &cheapest(PlacementState &state, std::span<const OpenEndpoint> open,
+                             TimePoint now)
+{
+    std::uniform_real_distribution<double> spread(1.0, 1.0 + state.options.jitter);
+    const OpenEndpoint *best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (const OpenEndpoint &candidate : open) {
+        const double cost = costOf(state, candidate, now) * spread(state.rng);
+        if (best && cost >= bestCost)
+            continue;
+        best = &candidate;
+        bestCost = cost;
+    }
+    return *best;
 }
 
 } // namespace
@@ -208,49 +258,24 @@
     const auto all = candidates(state, *request.config, request.service, request.model, now);
     placement.candidates = all.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
-    std::uniform_real_distribution<double> spread(1.0, 1.0 + state.options.jitter);
-    std::vector<const Endpoint *> open;
-    const Endpoint *best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    for (const Endpoint *endpoint : all) {
-        if (request.tried.contains(endpoint->report.id))
-            continue;
-        const EndpointHealth *health = healthOf(state, *endpoint);
-        if (health && health->ejectedUntil > now)
-            continue;
-        open.push_back(endpoint);
-        const TimingEstimate estimate = estimateAt(state, request, *endpoint, now);
-        double cost = toMs(estimate.firstEvent);
-        if (health && health->fullUntil > now)
-            cost += toMs(health->fullUntil - now) + cost;
-        if (health)
-            cost *= 1 + FailureWeight * health->failureRate;
-        if (endpoint->report.domain != state.domain)
-            cost += toMs(state.options.sameDomainBonus);
-        cost *= spread(state.rng);
-        if (cost >= bestCost)
-            continue;
-        best = endpoint;
-        bestCost = cost;
-        placement.estimate = estimate;
-    }
-    if (!best)
+    const std::vector<OpenEndpoint> open = openEndpoints(state, request, all, now);
+    if (open.empty())
         return placement;
+    const OpenEndpoint *best = &cheapest(state, open, now);
     if (!request.model.empty()) {
         ArrivalRate &rate = state.arrivals[request.model];
         noteArrival(rate, state.options.rateWindow, now);
         const double age = std::chrono::duration<double>(state.loadAge).count();
         const double unseen = rate.perSecond * age * static_cast<double>(state.entries - 1);
-        const Endpoint *picked = pickByStaleLoads(state, open, 1 + unseen, now);
-        const TimingEstimate estimate = estimateAt(state, request, *picked, now);
-        if (!isTooLate(state, request, expectedFirstEvent(state, request, estimate))) {
-            best = picked;
-            placement.estimate = estimate;
-        }
+        const OpenEndpoint &picked = pickByStaleLoads(state, open, 1 + unseen, now);
+        if (!isTooLate(state, request, expectedFirstEvent(state, request, picked.estimate)))
+            best = &picked;
     }
-    placement.endpoint = best->report.id;
-    placement.address = best->report.address;
-    placement.startedAtMs = best->report.startedAtMs;
+    const EndpointReport &report = best->endpoint->report;
+    placement.estimate = best->estimate;
+    placement.endpoint = report.id;
+    placement.address = report.address;
+    placement.startedAtMs = report.startedAtMs;
     placement.verdict = PlacementVerdict::Send;
     const Duration expected = expectedFirstEvent(state, request, placement.estimate);
     if (isTooLate(state, request, expected)) {
