libgateway, trefoilrund: one reading of addresses, one encoding of a message for all links

An entry read the address of each other entry five times a second, and a topology with a broken one was undefined behaviour; it is read once with the topology, and a broken one is logged and left out. The own link address stood in three places, the number of entries and the time of the last tick were kept twice, what is told of a control VM was taken in two like blocks. Link::close, remoteAddress and HttpParser::body had no user.

--- a/src/libgateway/channel.cpp
+++ b/src/libgateway/channel.cpp
@@ -1,6 +1,6 @@
 #include "libgateway/channel.h"
 
-#include "libruntime/address.h"
+#include "libruntime/networkendpoint.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
-#include <stdexcept>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -36,14 +35,6 @@
     socket.non_blocking(true, ignored);
 }
 
-tcp::endpoint toEndpoint(const std::string &text)
-{
-    const auto address = parseAddress(text);
-    if (!address)
-        throw std::invalid_argument("'" + text + "' is not an IP number and a port");
-    return {asio::ip::make_address(address->host), address->port};
-}
-
 } // namespace
 
 Channel::Channel(Socket socket, std::size_t capacity)
@@ -149,7 +140,7 @@
     });
     error_code failure;
     try {
-        const auto [result] = co_await socket->async_connect(toEndpoint(address),
+        const auto [result] = co_await socket->async_connect(toEndpoint<tcp>(address),
                                                              asio::as_tuple(asio::use_awaitable));
         failure = result;
     } catch (const std::exception &invalid) {
@@ -169,7 +160,7 @@
 
 ChannelListener::ChannelListener(asio::io_context &context, const std::string &address,
                                  std::size_t capacity, Handler handler)
-    : ChannelListener(context, toEndpoint(address), capacity, std::move(handler))
+    : ChannelListener(context, toEndpoint<tcp>(address), capacity, std::move(handler))
 {}
 
 ChannelListener::ChannelListener(asio::io_context &context, const tcp::endpoint &endpoint,
--- a/src/libgateway/controllinks.cpp
+++ b/src/libgateway/controllinks.cpp
@@ -46,6 +46,13 @@
         peer.lastUseful = RuntimeClock::now();
 }
 
+void ControlLinks::learnPublic(const std::string &address, const std::string &publicAddress)
+{
+    learn(address, false);
+    if (Peer *peer = find(address))
+        peer->publicAddress = publicAddress;
+}
+
 void ControlLinks::connect()
 {
     const TimePoint now = RuntimeClock::now();
@@ -96,9 +103,10 @@
 
 void ControlLinks::sendHello()
 {
+    const std::string frame = linkFrame(ownHello_());
     for (auto &[address, peer] : peers_) {
         if (peer.link)
-            peer.link->send(ownHello_());
+            peer.link->sendFrame(frame);
     }
 }
 
--- a/src/libgateway/controllinks.h
+++ b/src/libgateway/controllinks.h
@@ -43,6 +43,9 @@
     void setSeeds(std::span<const std::string> addresses);
     void learn(const std::string &address, bool isSeed);
 
+    // The same, with the address for operators.
+    void learnPublic(const std::string &address, const std::string &publicAddress);
+
     // Connects what is not connected. Call often.
     void connect();
 
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -85,7 +85,7 @@
     : context_(context)
     , settings_(std::move(settings))
     , dialect_(*findDialect(settings_.dialect))
-    , internalAddress_(settings_.address + ":" + std::to_string(settings_.internalPort))
+    , internalAddress_(linkAddress(settings_))
     , process_(wallTimeMs())
     , tickTimer_(context)
     , newsTimer_(context)
@@ -191,9 +191,7 @@
         hasTraffic_ = hasTraffic_ || link.hello.requests > 0;
         takeEntryFacts(link.hello);
         if (link.hello.kind == NodeKind::Control) {
-            peers_.learn(link.hello.internalAddress, false);
-            if (ControlLinks::Peer *peer = peers_.find(link.hello.internalAddress))
-                peer->publicAddress = link.hello.publicAddress;
+            peers_.learnPublic(link.hello.internalAddress, link.hello.publicAddress);
         }
         // The answer keeps the link alive in the other direction.
         link.send(ConfigurationOffer{seat_->services().version});
@@ -206,9 +204,7 @@
         for (const KnownNode &node : known->nodes) {
             if (node.kind != NodeKind::Control)
                 continue;
-            peers_.learn(node.internalAddress, false);
-            if (ControlLinks::Peer *peer = peers_.find(node.internalAddress))
-                peer->publicAddress = node.publicAddress;
+            peers_.learnPublic(node.internalAddress, node.publicAddress);
         }
     } else if (std::get_if<ConfigurationRequest>(&message)) {
         const PublishedServices &services = seat_->services();
@@ -296,8 +292,9 @@
 void ControlProcess::broadcast(const LinkMessage &message)
 {
     const auto links = accepted_; // a link that fails removes itself
+    const std::string frame = linkFrame(message);
     for (const auto &[pointer, link] : links)
-        link->send(message);
+        link->sendFrame(frame);
 }
 
 void ControlProcess::sendRaft(RaftMessage message)
--- a/src/libgateway/controlseatkeeper.cpp
+++ b/src/libgateway/controlseatkeeper.cpp
@@ -27,7 +27,7 @@
 {
     if (store.hasIdentity())
         return;
-    const EntryId self = settings.address + ":" + std::to_string(settings.internalPort);
+    const EntryId self = linkAddress(settings);
     std::vector<EntryId> seeds = seedLinkAddresses(settings);
     std::sort(seeds.begin(), seeds.end());
     const bool isSeed = std::find(seeds.begin(), seeds.end(), self) != seeds.end();
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -2,9 +2,9 @@
 
 #include "libgateway/documentpacking.h"
 #include "libgateway/relaysession.h"
-#include "libruntime/address.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
+#include "libruntime/networkendpoint.h"
 #include "libruntime/structuredlog.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
+constexpr auto LongestLateness = 9 * TickInterval; // of a tick without a log line
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
 constexpr auto EndpointRetention = std::chrono::minutes(5);
 // Pause after a document, by its size, so that reading a series of them leaves time for requests.
@@ -55,12 +56,6 @@
     return budget;
 }
 
-udp::endpoint toUdpEndpoint(const std::string &text)
-{
-    const auto address = parseAddress(text);
-    return {asio::ip::make_address(address->host), address->port};
-}
-
 } // namespace
 
 EntryState::EntryState(asio::io_context &ioContext, GatewaySettings gatewaySettings)
@@ -74,9 +69,9 @@
 EntryProcess::EntryProcess(asio::io_context &context, GatewaySettings settings)
     : context_(context)
     , state_(context, std::move(settings))
-    , internalAddress_(state_.settings.address + ":" + std::to_string(state_.settings.internalPort))
+    , internalAddress_(linkAddress(state_.settings))
     , process_(wallTimeMs())
-    , digests_(context, toUdpEndpoint(internalAddress_))
+    , digests_(context, toEndpoint<udp>(internalAddress_))
     , tickTimer_(context)
     , controls_(
               context, internalAddress_, LinkCapacity, [this] { return ownHello(); },
@@ -118,8 +113,7 @@
                 serveHttp(context_, state_.settings.metricsListen, [this](ServerRequest request) {
                     return handleMetrics(std::move(request));
                 });
-    lastTick_ = RuntimeClock::now();
-    tickTimer_.expires_at(lastTick_);
+    tickTimer_.expires_at(RuntimeClock::now());
     state_.reportStall = [this] {
         nextHello_ = std::min(nextHello_, RuntimeClock::now() + LeastHelloInterval);
     };
@@ -149,13 +143,13 @@
 void EntryProcess::tick()
 {
     const TimePoint now = RuntimeClock::now();
-    if (now - lastTick_ > 10 * TickInterval)
+    const Duration lateness = std::max(now - tickTimer_.expiry(), Duration::zero());
+    if (lateness > LongestLateness)
         logEvent(Event::Paused,
                  {{"ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                now - lastTick_)
+                                                lateness + TickInterval)
                                                 .count())}});
-    lastTick_ = now;
-    excusePause(state_.placement.table, std::max(now - tickTimer_.expiry(), Duration::zero()), now);
+    excusePause(state_.placement.table, lateness, now);
     controls_.connect();
     requestConfiguration();
     if (now >= nextHello_) {
@@ -302,12 +296,17 @@
         if (!control.link)
             continue;
         for (const KnownNode &node : control.nodes) {
-            if (node.kind == NodeKind::Entry && node.name != state_.settings.name)
-                peers_[node.name] = node;
+            if (node.kind != NodeKind::Entry || node.name == state_.settings.name)
+                continue;
+            try {
+                peers_[node.name] = toEndpoint<udp>(node.internalAddress);
+            } catch (const std::exception &invalid) {
+                logEvent(Event::PeerMessageInvalid,
+                         {{"peer", node.name}, {"error", invalid.what()}});
+            }
         }
     }
-    state_.entries = peers_.size() + 1;
-    state_.placement.entries = state_.entries;
+    state_.placement.entries = peers_.size() + 1;
     state_.placement.loadAge = digestInterval();
 }
 
@@ -332,9 +331,9 @@
         digest.items.push_back({loadKey(endpoint), static_cast<float>(load.requests),
                                 static_cast<float>(load.unreadPromptTokens)});
     const std::string bytes = encodeLoadDigest(digest);
-    for (const auto &[name, peer] : peers_) {
+    for (const auto &[name, endpoint] : peers_) {
         boost::system::error_code ignored; // a digest may be lost; the next one replaces it
-        digests_.send_to(asio::buffer(bytes), toUdpEndpoint(peer.internalAddress), 0, ignored);
+        digests_.send_to(asio::buffer(bytes), endpoint, 0, ignored);
     }
 }
 
@@ -405,7 +404,7 @@
     set("active_requests", static_cast<double>(state_.activeRequests));
     set("sessions", static_cast<double>(state_.sessionSignals.size()));
     set("idle_endpoint_connections", static_cast<double>(state_.pool.size()));
-    set("entries", static_cast<double>(state_.entries));
+    set("entries", static_cast<double>(state_.placement.entries));
     set("control_links", static_cast<double>(links));
     set("endpoints_usable", static_cast<double>(usable));
     set("configuration_version", state_.config ? static_cast<double>(state_.config->version) : 0);
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -34,7 +34,6 @@
     std::map<EndpointId, TimePoint> stalledAt;  // heads at which requests stood still
     std::map<std::string, double> sequences;    // requests in progress, by model
     std::function<void()> reportStall;          // tells control at once
-    std::size_t entries = 1;                    // that share the retry budget, this one included
     std::size_t activeRequests = 0;
     std::uint64_t requests = 0;
     bool isDraining = false;
@@ -83,11 +82,10 @@
     boost::asio::ip::udp::socket digests_;
     RuntimeTimer tickTimer_;
     ControlLinks controls_;
-    std::map<std::string, KnownNode> peers_; // other entries by name
+    std::map<std::string, boost::asio::ip::udp::endpoint> peers_; // other entries by name
     std::uint64_t digestSequence_ = 0;
     TimePoint nextDigest_{};
     TimePoint nextHello_{};
-    TimePoint lastTick_{};
     bool wasLoaded_ = false;
     std::uint64_t requestedVersion_ = 0;
     TimePoint requestedAt_{};
--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -76,6 +76,11 @@
 
 } // namespace
 
+std::string linkAddress(const GatewaySettings &settings)
+{
+    return settings.address + ":" + std::to_string(settings.internalPort);
+}
+
 std::vector<std::string> seedLinkAddresses(const GatewaySettings &settings)
 {
     std::vector<std::string> addresses;
--- a/src/libgateway/gatewaysettings.h
+++ b/src/libgateway/gatewaysettings.h
@@ -42,6 +42,9 @@
     std::vector<Finding> findings; // settings are usable only when empty
 };
 
+// Address at which this process takes links or datagrams of others.
+std::string linkAddress(const GatewaySettings &settings);
+
 // Addresses at which the seeds take links; the settings name those for operators.
 std::vector<std::string> seedLinkAddresses(const GatewaySettings &settings);
 
--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 #include <variant>
 
@@ -214,12 +215,6 @@
     return std::visit([](auto &parser) { return std::exchange(parser.bytes, {}); }, impl_->parser);
 }
 
-const std::string &HttpParser::body() const
-{
-    return std::visit([](const auto &parser) -> const std::string & { return parser.bytes; },
-                      impl_->parser);
-}
-
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return beast::iequals(beast::string_view(a.data(), a.size()),
@@ -270,6 +265,17 @@
     return text;
 }
 
+std::string toChunk(std::string_view bytes)
+{
+    char length[20];
+    const auto end = std::to_chars(length, length + sizeof length, bytes.size(), 16).ptr;
+    std::string text(length, end);
+    text += "\r\n";
+    text += bytes;
+    text += "\r\n";
+    return text;
+}
+
 std::string_view reasonOf(std::uint32_t status)
 {
     const auto reason = http::obsolete_reason(http::int_to_status(status));
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -67,7 +67,6 @@
 
     // Body bytes that arrived since the last call.
     std::string takeBody();
-    const std::string &body() const;
 
 private:
     struct Impl;
@@ -77,6 +76,9 @@
 // Head of a message with the blank line behind it.
 std::string toText(const HttpHead &head);
 
+// One piece of a body in chunks; a piece must not be empty.
+std::string toChunk(std::string_view bytes);
+
 std::string_view reasonOf(std::uint32_t status);
 
 } // namespace Trefoil
--- a/src/libgateway/link.cpp
+++ b/src/libgateway/link.cpp
@@ -13,15 +13,6 @@
 constexpr std::size_t MaxMessageBytes = 32 * 1024 * 1024;
 constexpr std::size_t MaxOutgoingBytes = 48 * 1024 * 1024; // a peer that does not read is dropped
 
-std::string frame(const std::string &payload)
-{
-    std::string bytes;
-    bytes.reserve(LengthBytes + payload.size());
-    for (std::size_t i = 0; i < LengthBytes; ++i)
-        bytes += static_cast<char>((payload.size() >> (8 * i)) & 0xff);
-    return bytes + payload;
-}
-
 std::size_t frameLength(const std::string &bytes)
 {
     std::size_t length = 0;
@@ -53,11 +44,27 @@
             channel_->executor(), [self] { return self->write(); }, asio::detached);
 }
 
+std::string linkFrame(const LinkMessage &message)
+{
+    const std::string payload = encodeLinkMessage(message);
+    std::string bytes;
+    bytes.reserve(LengthBytes + payload.size());
+    for (std::size_t i = 0; i < LengthBytes; ++i)
+        bytes += static_cast<char>((payload.size() >> (8 * i)) & 0xff);
+    return bytes + payload;
+}
+
 void Link::send(const LinkMessage &message)
+{
+    if (!isEnded_)
+        sendFrame(linkFrame(message));
+}
+
+void Link::sendFrame(std::string_view frame)
 {
     if (isEnded_)
         return;
-    outgoing_ += frame(encodeLinkMessage(message));
+    outgoing_ += frame;
     if (outgoing_.size() > MaxOutgoingBytes) {
         end("the peer does not read");
         return;
@@ -65,11 +72,6 @@
     writeSignal_.notify();
 }
 
-void Link::close()
-{
-    end("closed here");
-}
-
 // Handles the whole messages of the input. False when the link must end.
 bool Link::deliver(std::string &reason)
 {
--- a/src/libgateway/link.h
+++ b/src/libgateway/link.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Trefoil {
 
@@ -24,9 +25,9 @@
     void start();
 
     void send(const LinkMessage &message);
-    void close();
 
-    const std::string &remoteAddress() const { return channel_->remoteAddress(); }
+    // Sends a message that linkFrame has encoded, for example to many links.
+    void sendFrame(std::string_view frame);
 
     LinkHello hello; // of the peer, kept by the user of the link
     bool hasHello = false;
@@ -48,6 +49,9 @@
     bool isEnded_ = false;
 };
 
+// A message as it stands on a link.
+std::string linkFrame(const LinkMessage &message);
+
 using LinkPointer = std::shared_ptr<Link>;
 
 } // namespace Trefoil
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -113,17 +113,6 @@
     return value;
 }
 
-std::string chunk(std::string_view bytes)
-{
-    char length[20];
-    const auto end = std::to_chars(length, length + sizeof length, bytes.size(), 16).ptr;
-    std::string text(length, end);
-    text += "\r\n";
-    text += bytes;
-    text += "\r\n";
-    return text;
-}
-
 std::string_view pathOf(const HttpHead &head)
 {
     const std::string_view target = head.target;
@@ -404,7 +393,7 @@
         }
         if (progress.sends > 0) {
             const bool mayRepeat = progress.sends < request.route->attempts
-                                   && tryRepeat(state_.retryBudget, state_.entries, now);
+                                   && tryRepeat(state_.retryBudget, state_.placement.entries, now);
             if (!mayRepeat)
                 co_return false;
             state_.metrics.addCount("trefoil_repeats_total", "");
@@ -834,7 +823,7 @@
             else
                 progress.longestGap = std::max(progress.longestGap, now - progress.lastPassedAt);
             progress.lastPassedAt = now;
-            text += request.head.isHttp11 ? chunk(events) : events;
+            text += request.head.isHttp11 ? toChunk(events) : events;
         }
         if (isComplete && request.head.isHttp11)
             text += "0\r\n\r\n";
--- a/src/trefoilrund/httplistener.cpp
+++ b/src/trefoilrund/httplistener.cpp
@@ -1,5 +1,6 @@
 #include "trefoilrund/httplistener.h"
 
+#include "libruntime/networkendpoint.h"
 #include "trefoilrund/frontjson.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -108,10 +109,7 @@
 void listenHttp(Duty &duty, const std::string &address, const HttpLimits &limits,
                 HttpHandler handler)
 {
-    const auto parsed = parseAddress(address);
-    if (!parsed)
-        throw std::invalid_argument("not an address: " + address);
-    const tcp::endpoint endpoint(asio::ip::make_address(parsed->host), parsed->port);
+    const auto endpoint = toEndpoint<tcp>(address);
     auto listener = std::make_shared<Listener>(
             Listener{tcp::acceptor(duty.context()), limits, std::move(handler)});
     listener->acceptor.open(endpoint.protocol());
--- a/src/trefoilrund/peerduty.cpp
+++ b/src/trefoilrund/peerduty.cpp
@@ -1,5 +1,6 @@
 #include "trefoilrund/peerduty.h"
 
+#include "libruntime/networkendpoint.h"
 #include "libruntime/signal.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -38,15 +39,6 @@
 
 constexpr auto AsTuple = asio::as_tuple(asio::use_awaitable);
 
-template <class Protocol>
-typename Protocol::endpoint toEndpoint(const std::string &text)
-{
-    const auto address = parseAddress(text);
-    if (!address)
-        throw std::invalid_argument("not an address: " + text);
-    return {asio::ip::make_address(address->host), address->port};
-}
-
 std::string toText(const udp::endpoint &endpoint)
 {
     return Trefoil::toText(Address{endpoint.address().to_string(), endpoint.port()});
