tests, platform: names without a user go; one chunk encoder

The soak kept when callers left and never read it, drew random shares in two ways and passed a world that isRunning did not use; its stand-ins and test_relay had their own chunk encoders beside the relay's. Header names and the list of loaded models that nothing read are gone.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -22,13 +22,11 @@
     std::string requestId;      // identifies one attempt of a caller; endpoints echo it
     std::string timeLeft;       // milliseconds that the caller still waits
     std::string expectEndpoint; // any other endpoint answers 421
-    std::string endpointId;     // names the endpoint that answered
     std::string workspace;      // set by the entry from the caller's key
     std::string answerDigest;   // every answer of an endpoint that succeeded has it
     std::string notExecuted;    // the endpoint did not run the request
     std::string model;
     std::string tokenCount; // "prompt tokens,largest number of answer tokens"
-    std::string lengthHint; // caller's estimate of the answer's tokens
     std::string priority;   // 0 is the most urgent
     std::string lastEventId;
 };
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -43,7 +43,6 @@
     std::uint64_t startedAtMs = 0; // Unix time of the start, tells two lives of one id apart
     std::uint64_t sequence = 0;    // grows with each report of one life
     std::vector<std::string> stagedModels;
-    std::vector<std::string> loadedModels;
     std::optional<GroupMembership> membership;
 
     bool operator==(const EndpointReport &) const = default;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -30,11 +30,6 @@
 
 const std::string Host = "a.example";
 
-double randomShare(SoakWorld &world)
-{
-    return std::uniform_real_distribution<double>(0, 1)(world.rng);
-}
-
 // ---- Configurations
 
 json::object routeObject(const std::string &name, const std::string &prefix,
@@ -213,7 +208,6 @@
     TimePoint entriesUntil{};
     ChannelPointer channel;
     std::string entry; // of the channel
-    std::string resumedFrom;
     std::uint64_t lastEvent = 0;
 };
 
@@ -373,7 +367,6 @@
             co_await exchange(caller.channel, requestText(request, id, caller.lastEvent, time),
                               now + time + AnswerSlack, leaveAt);
     if (RuntimeClock::now() >= leaveAt) {
-        world.sent[id].leftAt = RuntimeClock::now();
         caller.lastEvent = 0;
         co_return;
     }
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -1,7 +1,7 @@
 #include "faultproxy.h"
 
-#include "libruntime/address.h"
 #include "libruntime/clock.h"
+#include "libruntime/networkendpoint.h"
 #include "libruntime/signal.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,12 +22,6 @@
 constexpr auto PollInterval = std::chrono::milliseconds(10);
 constexpr std::size_t PieceSize = 16 * 1024;
 
-tcp::endpoint toEndpoint(const std::string &text)
-{
-    const auto address = parseAddress(text);
-    return {asio::ip::make_address(address->host), address->port};
-}
-
 void resetSocket(tcp::socket &socket)
 {
     boost::system::error_code ended; // the other side may have closed it already
@@ -40,7 +34,7 @@
 FaultProxy::FaultProxy(asio::io_context &context, const std::string &listenAddress,
                        std::string targetAddress)
     : context_(context)
-    , acceptor_(context, toEndpoint(listenAddress))
+    , acceptor_(context, toEndpoint<tcp>(listenAddress))
     , target_(std::move(targetAddress))
 {
     asio::co_spawn(context_, accept(), asio::detached);
@@ -75,7 +69,7 @@
 asio::awaitable<void> FaultProxy::serve(ConnectionPointer connection)
 {
     boost::system::error_code error;
-    co_await connection->server.async_connect(toEndpoint(target_),
+    co_await connection->server.async_connect(toEndpoint<tcp>(target_),
                                               asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         resetSocket(connection->client);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -145,7 +145,7 @@
 asio::awaitable<void> disturbEndpoint(SoakWorld &world, Duration duration)
 {
     SoakEndpoint &endpoint = *world.endpoints[randomBelow(world, world.endpoints.size())];
-    if (!isRunning(world, endpoint))
+    if (!isRunning(endpoint))
         co_return;
     switch (randomBelow(world, 6)) {
     case 0:
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -57,6 +57,11 @@
     std::cout << "broken at " << world.broken.back() << std::endl;
 }
 
+double randomShare(SoakWorld &world)
+{
+    return std::uniform_real_distribution<double>(0, 1)(world.rng);
+}
+
 std::uint64_t randomBelow(SoakWorld &world, std::uint64_t bound)
 {
     return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(world.rng);
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -75,7 +75,6 @@
     std::string body;
     std::uint32_t runs = 0;
     bool isRefused = false; // the caller was told that it has not run
-    TimePoint leftAt = TimePoint::max();
 };
 
 struct SoakCounts
@@ -113,6 +112,7 @@
 // Notes a broken promise with its moment.
 void noteBroken(SoakWorld &world, const std::string &text);
 
+double randomShare(SoakWorld &world); // from 0 to 1
 std::uint64_t randomBelow(SoakWorld &world, std::uint64_t bound);
 Duration randomDuration(SoakWorld &world, Duration from, Duration to);
 boost::asio::awaitable<void> sleepFor(Duration duration);
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -154,7 +154,7 @@
 
     bool isAlive() const
     {
-        return endpoint.life == life && isRunning(world, endpoint) && !channel->isEnded();
+        return endpoint.life == life && isRunning(endpoint) && !channel->isEnded();
     }
 
     asio::awaitable<bool> write(std::string text)
@@ -191,13 +191,6 @@
     return toText(head);
 }
 
-std::string chunkOf(const std::string &bytes)
-{
-    char length[16];
-    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
-    return length + bytes + "\r\n";
-}
-
 // Returns whether the connection stays open.
 asio::awaitable<bool> writeStream(Session &session, const HttpHead &head)
 {
@@ -216,7 +209,7 @@
             co_return false;
         if (!hasWholeGroup(session.world, session.endpoint))
             continue;
-        isOpen = co_await session.write(chunkOf(eventText(next)));
+        isOpen = co_await session.write(toChunk(eventText(next)));
         ++next;
     }
     if (isOpen)
@@ -232,8 +225,7 @@
 asio::awaitable<bool> answerPlain(Session &session, const HttpHead &head, const std::string &body)
 {
     co_await sleepFor(PlainWork);
-    std::uniform_real_distribution<double> share(0, 1);
-    const bool isLost = share(session.world.rng) < session.endpoint.lostAnswerShare;
+    const bool isLost = randomShare(session.world) < session.endpoint.lostAnswerShare;
     if (!session.isAlive() || isLost)
         co_return false;
     co_return co_await session.write(plainAnswerText(head, body));
@@ -436,7 +428,7 @@
         if (world.fleet.now >= nextPlainReport) {
             nextPlainReport = world.fleet.now + PlainReportInterval;
             for (auto &endpoint : world.endpoints) {
-                if (endpoint->isEngine || !endpoint->listener)
+                if (endpoint->isEngine || !isRunning(*endpoint))
                     continue;
                 ++endpoint->report.sequence;
                 asio::co_spawn(world.context, sendReport(world, *endpoint, endpoint->report),
@@ -449,7 +441,7 @@
     }
 }
 
-bool isRunning(const SoakWorld & /*world*/, const SoakEndpoint &endpoint)
+bool isRunning(const SoakEndpoint &endpoint)
 {
     return endpoint.listener != nullptr;
 }
--- a/tests/soak/standinservers.h
+++ b/tests/soak/standinservers.h
@@ -26,7 +26,7 @@
 // The endpoint starts again as another life with another id.
 void restartEndpoint(SoakWorld &world, SoakEndpoint &endpoint);
 
-bool isRunning(const SoakWorld &world, const SoakEndpoint &endpoint);
+bool isRunning(const SoakEndpoint &endpoint);
 
 // Sends a report that names another service or a later start at the endpoint's address.
 boost::asio::awaitable<void> sendForeignReport(SoakWorld &world, const SoakEndpoint &endpoint);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -198,13 +198,6 @@
            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-std::string chunkOf(const std::string &bytes)
-{
-    char length[16];
-    std::snprintf(length, sizeof length, "%zx", bytes.size());
-    return std::string(length) + "\r\n" + bytes + "\r\n";
-}
-
 bool contains(const std::string &text, const std::string &part)
 {
     return text.find(part) != std::string::npos;
@@ -295,7 +288,7 @@
 {
     World world;
     world.publish(RouteKind::Stream, 2);
-    world.second.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
+    world.second.answers = {streamHead() + toChunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
     world.state.progressAt["e1"] = RuntimeClock::now() + seconds(10);
     world.exchange(request(Key, ""), "0\r\n\r\n");
     BOOST_CHECK_EQUAL(world.first.heads.size(), 1);
@@ -307,7 +300,7 @@
 {
     World world;
     world.publish(RouteKind::Stream, 2);
-    world.second.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
+    world.second.answers = {streamHead() + toChunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"};
     world.exchange(request(Key, ""), "0\r\n\r\n");
     BOOST_CHECK_EQUAL(world.second.heads.size(), 1);
     BOOST_CHECK(world.state.stalledAt.contains("e1"));
@@ -372,9 +365,9 @@
 {
     World world;
     world.publish(RouteKind::Stream, 2);
-    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\nid: 2\nda")};
+    world.first.answers = {streamHead() + toChunk("id: 1\ndata: a\n\nid: 2\nda")};
     world.first.closesAfterAnswer = true;
-    world.second.answers = {streamHead() + chunkOf("id: 2\ndata: b\n\n") + "0\r\n\r\n"};
+    world.second.answers = {streamHead() + toChunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"};
     world.exchange(request(Key, ""), "\r\n0\r\n\r\n");
     BOOST_CHECK(contains(world.answer, "id: 1\ndata: a\n\n"));
     BOOST_CHECK(contains(world.answer, "id: 2\ndata: b\n\n"));
@@ -386,7 +379,7 @@
 {
     World world;
     world.publish(RouteKind::Stream, 1);
-    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n")};
+    world.first.answers = {streamHead() + toChunk("id: 1\ndata: a\n\n")};
     world.first.closesAfterAnswer = true;
     world.exchange(request(Key, ""), "");
     BOOST_CHECK(contains(world.answer, "id: 1"));
@@ -397,7 +390,7 @@
 {
     World world;
     world.publish(RouteKind::Stream, 1);
-    world.first.answers = {streamHead() + chunkOf("id: 1\ndata: a\n\n")};
+    world.first.answers = {streamHead() + toChunk("id: 1\ndata: a\n\n")};
     world.exchange(request(Key, ""), "id: 1");
     BOOST_CHECK(world.first.wasLeft);
     BOOST_CHECK(world.state.placement.ownLoads.empty());
