--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -2,9 +2,6 @@
 
 #include "libruntime/settingsreader.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace Trefoil {
 
 namespace {
@@ -106,15 +103,9 @@
 
 LoadedGatewaySettings loadGatewaySettings(const std::string &path)
 {
-    std::ifstream in(path);
-    std::ostringstream text;
-    text << in.rdbuf();
-    if (!in) {
-        LoadedGatewaySettings loaded;
-        loaded.findings.push_back({path, 0, 0, "cannot read the file"});
-        return loaded;
-    }
-    return readGatewaySettings(text.str(), path);
+    LoadedGatewaySettings unread;
+    const auto text = readSettingsFile(path, unread.findings);
+    return text ? readGatewaySettings(*text, path) : unread;
 }
 
 } // namespace Trefoil
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -2,9 +2,6 @@
 
 #include "libruntime/settingsreader.h"
 
-#include <fstream>
-#include <sstream>
-
 namespace Trefoil {
 
 namespace {
@@ -177,15 +174,9 @@
 
 LoadedSettings loadSettings(const std::string &path)
 {
-    std::ifstream in(path);
-    std::ostringstream text;
-    text << in.rdbuf();
-    if (!in) {
-        LoadedSettings loaded;
-        loaded.findings.push_back({path, 0, 0, "cannot read the file"});
-        return loaded;
-    }
-    return readSettings(text.str(), path);
+    LoadedSettings unread;
+    const auto text = readSettingsFile(path, unread.findings);
+    return text ? readSettings(*text, path) : unread;
 }
 
 } // namespace Trefoil
--- a/src/libruntime/settingsreader.cpp
+++ b/src/libruntime/settingsreader.cpp
@@ -3,12 +3,25 @@
 #include "libruntime/address.h"
 
 #include <algorithm>
+#include <fstream>
 #include <map>
 #include <optional>
 #include <set>
+#include <sstream>
 
 namespace Trefoil {
 
+std::optional<std::string> readSettingsFile(const std::string &path, std::vector<Finding> &findings)
+{
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (in)
+        return text.str();
+    findings.push_back({path, 0, 0, "cannot read the file"});
+    return std::nullopt;
+}
+
 // Reads a mapping. Unknown, repeated and missing keys are findings.
 void readMapping(const YAML::Node &node, std::span<const SettingsField> fields,
                  const std::string &where, SettingsReader &reader)
--- a/src/libruntime/settingsreader.h
+++ b/src/libruntime/settingsreader.h
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,6 +48,10 @@
     bool isRequired = false;
 };
 
+// The text of a settings file; a finding when it cannot be read.
+std::optional<std::string> readSettingsFile(const std::string &path,
+                                            std::vector<Finding> &findings);
+
 // Reads a mapping. Unknown, repeated and missing keys are findings.
 void readMapping(const YAML::Node &node, std::span<const SettingsField> fields,
                  const std::string &where, SettingsReader &reader);
