--- /dev/null
+++ b/src/libfleet/grouplosses.cpp
@@ -0,0 +1,137 @@
+#include "libfleet/groupplanning.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace Trefoil {
+
+namespace {
+
+// True while entries see no progress at the head. A VM of such a group is lost after a shorter
+// silence of its own.
+bool isStalled(const Planning &planning, const FleetGroup &group)
+{
+    const GroupPlanner &planner = planning.planner;
+    const auto stalled = planner.stalledHeads.find(group.members.front());
+    const auto progressed = planner.progressedHeads.find(group.members.front());
+    if (stalled == planner.stalledHeads.end())
+        return false;
+    const bool isRefuted = progressed != planner.progressedHeads.end()
+                           && planning.now - progressed->second < planner.options.stallSilence;
+    return !isRefuted && planning.now - stalled->second < planner.options.stallMemory;
+}
+
+// Why an endpoint is not usable, by what was heard of it lately, null when nothing was.
+const char *unusableReason(const Endpoint *heard)
+{
+    if (!heard)
+        return "is silent";
+    if (heard->report.isDraining)
+        return "drains";
+    return heard->hasLeft ? "leaves" : "was replaced";
+}
+
+// The head's life in the group has provably ended.
+bool hasEnded(const Planning &planning, const FleetGroup &group, const Endpoint &head)
+{
+    return head.isSucceeded || (planning.heard(head.report.id) && !isMember(head, group));
+}
+
+// A silent head may still serve behind a partition. Once its members have left, it breaks after the
+// stall timeout. Returns true when that time is over.
+bool abandonHead(Planning &planning, FleetGroup &group)
+{
+    bool anyLeft = false;
+    bool allLeft = true;
+    for (const EndpointId &id : group.members) {
+        const Endpoint *member = planning.heard(id);
+        if (!member || id == group.members.front())
+            continue;
+        if (!isMember(*member, group) || group.left.contains(id)) {
+            anyLeft = true;
+            continue;
+        }
+        allLeft = false;
+        order(planning, *member, group, OrderKind::Leave, "the head of the group is silent");
+    }
+    if (!anyLeft || !allLeft) {
+        group.abandonedSince = TimePoint{};
+        return false;
+    }
+    if (group.abandonedSince == TimePoint{})
+        group.abandonedSince = planning.now;
+    const GroupPlannerOptions &options = planning.planner.options;
+    return planning.now - group.abandonedSince > options.stallTimeout + options.stallMargin;
+}
+
+} // namespace
+
+// A member that is lost for good or about to leave.
+std::optional<MissingMember> missingMember(const Planning &planning, const FleetGroup &group)
+{
+    const bool stalled = isStalled(planning, group);
+    for (const EndpointId &id : group.members) {
+        const Endpoint *endpoint = planning.usable(id);
+        if (!endpoint)
+            return MissingMember{id, unusableReason(planning.heard(id))};
+        const Duration silence = planning.now - endpoint->lastReport;
+        const bool isDoubtful = stalled || group.stage == GroupStage::Forming;
+        if (isDoubtful && silence > planning.planner.options.stalledLossTimeout)
+            return MissingMember{id, stalled ? "is silent and its group stands still"
+                                             : "is silent while its group forms"};
+        const bool joined = group.stage == GroupStage::Forming || isMember(*endpoint, group);
+        if (!joined)
+            return MissingMember{id, "is not in the group any more"};
+    }
+    return std::nullopt;
+}
+
+// Keeps a VM out of new groups until it reports again.
+void suspect(GroupPlanner &planner, const EndpointId &id, TimePoint now)
+{
+    planner.suspects[id] = now;
+}
+
+void startClosing(Planning &planning, FleetGroup &group, const MissingMember &missing)
+{
+    group.closeReason = missing.id + " " + missing.reason;
+    suspect(planning.planner, missing.id, planning.now);
+    const Endpoint *heard = planning.heard(missing.id);
+    const bool isPlanned = heard && (heard->report.isDraining || heard->hasLeft);
+    group.closeMode = isPlanned ? CloseMode::FinishRequests : CloseMode::CutRequests;
+    setStage(group, GroupStage::Closing, planning.now);
+}
+
+// Frees the members once the head cannot serve any more. Returns true when the group is over.
+bool finishClosing(Planning &planning, FleetGroup &group)
+{
+    const Endpoint *known = findEndpoint(planning.table, group.members.front());
+    if (known && hasEnded(planning, group, *known))
+        return true;
+    const Endpoint *head = planning.heard(group.members.front());
+    if (!head)
+        return group.members.size() == 1 || abandonHead(planning, group);
+    group.abandonedSince = TimePoint{};
+    if (head->report.membership->phase == MembershipPhase::Open)
+        group.isOpening = false;
+    switch (head->report.membership->phase) {
+    case MembershipPhase::Joining:
+    case MembershipPhase::Broken:
+        return true;
+    case MembershipPhase::Ready:
+        if (group.unansweredOpens == 0 && !group.isOpening)
+            return true;
+        // An open order that takes effect late must not find the head in the group any more.
+        orderHead(planning, group, *head, OrderKind::Leave, "an open order may take effect late");
+        return false;
+    case MembershipPhase::Open:
+    case MembershipPhase::Closing:
+        break;
+    }
+    if (planning.now - group.stageSince > planning.planner.options.closeTimeout)
+        group.closeMode = CloseMode::CutRequests;
+    orderHead(planning, group, *head, OrderKind::Close, group.closeReason);
+    return false;
+}
+
+} // namespace Trefoil
