libfleet: every VM stages a standby model; groups form of what the VMs hold; heads that do not answer are left at once

Load: on the new site two VMs of groups are lost every 2.6 s and VMs join with empty hosts.

- A host keeps one model on disk and the engine still holds the one of its last group.
Each VM now stages the model that it does not hold (free before the first request, later with half of the store's concurrent loads), so that what a loss leaves over joins for either model in 0.2 to 1.6 s.
- With traffic a group forms of VMs that hold its model; those that do not stage it meanwhile and hold nobody back.
A model beyond its share forms as well when it is in use.
- Members leave a head that has not closed 0.3 s after the order, and the stall time counts from the first one that left; loads that are staged count as loads in progress.

The stand-in engines now take time to stage.

--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -1,5 +1,7 @@
 #include "libfleet/endpoints.h"
 
+#include "libfleet/groupname.h"
+
 #include <algorithm>
 
 namespace Trefoil {
@@ -33,6 +35,13 @@
     }
 }
 
+void noteMembership(Endpoint &endpoint)
+{
+    const auto &membership = endpoint.report.membership;
+    if (membership && membership->phase != MembershipPhase::Joining)
+        endpoint.loadedModel = modelOfGroup(*membership);
+}
+
 } // namespace
 
 ReportOutcome takeReport(EndpointTable &table, const EndpointReport &report, Duration age,
@@ -45,6 +54,7 @@
         endpoint.lastHeard = now - age;
         endpoint.lastReport = endpoint.lastHeard;
         endpoint.isSucceeded = isSucceeded(table, report);
+        noteMembership(endpoint);
         table.endpoints.emplace(report.id, endpoint);
         retirePredecessors(table, report);
         return ReportOutcome::Changed;
@@ -58,12 +68,14 @@
     if (!sameLife) {
         known.hasLeft = false;
         known.isSucceeded = isSucceeded(table, report);
+        known.loadedModel.clear();
     }
     EndpointReport unchanged = report;
     unchanged.sequence = known.report.sequence;
     const bool changed = unchanged != known.report;
     const bool moved = report.address != known.report.address || !sameLife;
     known.report = report;
+    noteMembership(known);
     if (moved)
         retirePredecessors(table, report);
     return changed ? ReportOutcome::Changed : ReportOutcome::Refreshed;
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcoord/time.h"
+#include "libfleet/groupmembership.h"
 #include "libfleet/serviceconfiguration.h"
 
 #include <cstdint>
@@ -16,21 +17,6 @@
 
 namespace Trefoil {
 
-using EndpointId = std::string;
-
-enum class MembershipPhase : std::uint8_t { Joining, Ready, Open, Closing, Broken };
-
-// Place of an engine in a serving group, as the engine reports it.
-struct GroupMembership
-{
-    std::string group;
-    std::uint64_t epoch = 0;
-    std::uint32_t rank = 0; // 0 is the head, which takes the group's requests
-    MembershipPhase phase = MembershipPhase::Joining;
-
-    bool operator==(const GroupMembership &) const = default;
-};
-
 struct EndpointReport
 {
     EndpointId id;
@@ -55,6 +41,7 @@
     TimePoint lastReport{};   // by a report of its own
     bool hasLeft = false;     // said that it ends; it may still serve for a while
     bool isSucceeded = false; // a later endpoint has its address, so it has ended
+    std::string loadedModel;  // of its last group in which it got ready in this life
 };
 
 struct EndpointTable
--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -63,36 +63,29 @@
     return sequences->second / slots;
 }
 
-// The neediest model that fits, unless a model that does not fit is much needier.
-const ModelProfile *chooseModel(const Planning &planning, const Service &service,
-                                std::size_t freeVms)
+// Loads that the fastest group of a model among these VMs needs.
+std::size_t neededLoads(const std::vector<const Endpoint *> &vms, const ModelProfile &model)
 {
-    const ModelProfile *chosen = nullptr;
-    double chosenShare = std::numeric_limits<double>::max();
-    double lowest = std::numeric_limits<double>::max();
-    for (const ModelProfile &model : service.engine->models) {
-        const double share = servedShare(planning, service.name, model);
-        lowest = std::min(lowest, share);
-        if (model.vmsPerGroup <= freeVms && share < chosenShare) {
-            chosen = &model;
-            chosenShare = share;
-        }
-    }
-    if (!chosen)
-        return nullptr;
-    const bool balanced = chosenShare <= lowest * planning.planner.options.balanceTolerance;
-    return balanced ? chosen : nullptr;
+    const auto holders = static_cast<std::size_t>(
+            std::count_if(vms.begin(), vms.end(),
+                          [&model](const Endpoint *vm) { return holdsModel(*vm, model.name); }));
+    return model.vmsPerGroup - std::min<std::size_t>(model.vmsPerGroup, holders);
 }
 
-// VMs that join fastest first: the model staged, then nothing staged; then by failure domain.
+// VMs that join fastest first; among these the ones that fit fewest other models, then by failure
+// domain.
 void sortForModel(std::vector<const Endpoint *> &vms, const std::string &model)
 {
     const auto rank = [&model](const Endpoint *vm) {
-        const bool staged = hasStaged(*vm, model);
-        return std::tuple(staged                            ? 0
-                          : vm->report.stagedModels.empty() ? 1
-                                                            : 2,
-                          vm->report.domain, vm->report.id);
+        const bool isLoaded = hasLoaded(*vm, model);
+        const auto &staged = vm->report.stagedModels;
+        const auto others = std::count_if(staged.begin(), staged.end(),
+                                          [&](const std::string &name) { return name != model; });
+        const bool isStaged = hasStaged(*vm, model);
+        return std::tuple(isLoaded   ? 0
+                          : isStaged ? 1
+                                     : 2,
+                          others, vm->report.domain, vm->report.id);
     };
     std::sort(vms.begin(), vms.end(),
               [&rank](const Endpoint *a, const Endpoint *b) { return rank(a) < rank(b); });
@@ -134,29 +127,63 @@
     return freeVms / largest - (freeVms - groupSize) / largest;
 }
 
-// Where the next group forms: the place of the model that chooseModel names that needs the fewest
-// loads, then the one that costs the fewest large groups, then the fullest one. So small groups
-// share fabrics, and whole fabrics stay for large groups.
+// True when the VMs may form a group of the model now.
+bool mayForm(const Planning &planning, const Service &service, const ModelProfile &model,
+             const std::vector<const Endpoint *> &vms, double lowestShare)
+{
+    const GroupPlannerOptions &options = planning.planner.options;
+    if (model.vmsPerGroup > vms.size())
+        return false;
+    const std::size_t loads = neededLoads(vms, model);
+    const double share = servedShare(planning, service.name, model);
+    const bool isBalanced = share <= lowestShare * options.balanceTolerance;
+    if (!planning.planner.hasTraffic)
+        return isBalanced;
+    const bool isUsed = utilization(planning, service, model) > options.loadAt;
+    if (loads == 0)
+        return isBalanced || (options.formsAnyGroup && isUsed);
+    // A group that waits for some of its loads would hold back the VMs that need none.
+    return isBalanced && isUsed && loads == model.vmsPerGroup;
+}
+
+// The neediest model of which the VMs may form a group, or null.
+//
+// Load: VMs are lost faster than they are replaced. What is left in a fabric often fits only a
+// model that has its share, and a group of it serves more than VMs that wait for others.
+const ModelProfile *chooseModel(const Planning &planning, const Service &service,
+                                const std::vector<const Endpoint *> &vms)
+{
+    double lowest = std::numeric_limits<double>::max();
+    for (const ModelProfile &model : service.engine->models)
+        lowest = std::min(lowest, servedShare(planning, service.name, model));
+    const ModelProfile *chosen = nullptr;
+    double chosenShare = std::numeric_limits<double>::max();
+    for (const ModelProfile &model : service.engine->models) {
+        const double share = servedShare(planning, service.name, model);
+        if (share >= chosenShare || !mayForm(planning, service, model, vms, lowest))
+            continue;
+        chosen = &model;
+        chosenShare = share;
+    }
+    return chosen;
+}
+
+// Where the next group forms: the place that needs the fewest loads, then the one that costs the
+// fewest large groups, then the fullest one. So small groups share fabrics, and whole fabrics stay
+// for large groups.
 std::optional<GroupPlace> bestPlace(const Planning &planning, const Service &service,
                                     const FreeVms &freeByFabric)
 {
     std::optional<GroupPlace> best;
     std::tuple<std::size_t, std::size_t, std::size_t> bestRank;
     for (const auto &[fabric, free] : freeByFabric) {
-        const ModelProfile *model = chooseModel(planning, service, free.size());
+        const ModelProfile *model = chooseModel(planning, service, free);
         if (!model)
             continue;
-        const auto staged = static_cast<std::size_t>(
-                std::count_if(free.begin(), free.end(),
-                              [model](const Endpoint *vm) { return hasStaged(*vm, model->name); }));
-        const std::size_t loads =
-                model->vmsPerGroup - std::min<std::size_t>(model->vmsPerGroup, staged);
-        const bool mayLoad =
-                !planning.planner.hasTraffic
-                || utilization(planning, service, *model) > planning.planner.options.loadAt;
-        const std::tuple rank(loads, lostLargeGroups(service, free.size(), model->vmsPerGroup),
+        const std::tuple rank(neededLoads(free, *model),
+                              lostLargeGroups(service, free.size(), model->vmsPerGroup),
                               free.size());
-        if ((loads > 0 && !mayLoad) || (best && rank >= bestRank))
+        if (best && rank >= bestRank)
             continue;
         best = GroupPlace{model, fabric};
         bestRank = rank;
@@ -186,7 +213,7 @@
             continue;
         }
         allReady = false;
-        const bool isLoad = !hasStaged(*endpoint, group.model);
+        const bool isLoad = !holdsModel(*endpoint, group.model);
         if (isLoad && !mayStartLoad(planning, engine))
             continue;
         order(planning, *endpoint, group, OrderKind::Join, "the group forms", isLoad);
@@ -210,6 +237,8 @@
         formGroup(planning, service, *place->model, place->fabric, freeByFabric[place->fabric]);
     for (const auto &[fabric, free] : freeByFabric)
         stageSpares(planning, service, fabric, free);
+    for (const auto &[fabric, free] : freeByFabric)
+        stageStandbyModels(planning, service, free);
 }
 
 } // namespace Trefoil
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -37,31 +37,34 @@
     return head.isSucceeded || (planning.heard(head.report.id) && !isMember(head, group));
 }
 
-// A silent head may still serve behind a partition. Once its members have left, it breaks after the
-// stall timeout. Returns true when that time is over.
-bool abandonHead(Planning &planning, FleetGroup &group)
+// Orders the members to leave a head that does not answer. It may still serve behind a partition,
+// but without a member it stands still, and is broken after the stall timeout.
+void leaveHead(Planning &planning, const FleetGroup &group)
 {
-    bool anyLeft = false;
-    bool allLeft = true;
     for (const EndpointId &id : group.members) {
         const Endpoint *member = planning.heard(id);
         if (!member || id == group.members.front())
             continue;
-        if (!isMember(*member, group) || group.left.contains(id)) {
-            anyLeft = true;
-            continue;
-        }
-        allLeft = false;
-        order(planning, *member, group, OrderKind::Leave, "the head of the group is silent");
-    }
-    if (!anyLeft || !allLeft) {
-        group.abandonedSince = TimePoint{};
-        return false;
+        if (isMember(*member, group) && !group.left.contains(id))
+            order(planning, *member, group, OrderKind::Leave, "the head of the group is silent");
     }
-    if (group.abandonedSince == TimePoint{})
-        group.abandonedSince = planning.now;
+}
+
+// A member is known to have left the group.
+bool hasLostMember(const Planning &planning, const FleetGroup &group)
+{
+    return std::any_of(group.members.begin() + 1, group.members.end(), [&](const EndpointId &id) {
+        const Endpoint *member = planning.heard(id);
+        return member && (!isMember(*member, group) || group.left.contains(id));
+    });
+}
+
+// The head has stood still for so long that it is broken, wherever it is.
+bool isBrokenByNow(const Planning &planning, const FleetGroup &group)
+{
     const GroupPlannerOptions &options = planning.planner.options;
-    return planning.now - group.abandonedSince > options.stallTimeout + options.stallMargin;
+    return group.stoppedAt != TimePoint{}
+           && planning.now - group.stoppedAt > options.stallTimeout + options.stallMargin;
 }
 
 } // namespace
@@ -109,9 +112,15 @@
     if (known && hasEnded(planning, group, *known))
         return true;
     const Endpoint *head = planning.heard(group.members.front());
+    const bool isUnanswered =
+            group.closeMode == CloseMode::CutRequests
+            && planning.now - group.stageSince > planning.planner.options.closeAnswerTime;
+    if (!head || isUnanswered)
+        leaveHead(planning, group);
+    if (group.stoppedAt == TimePoint{} && hasLostMember(planning, group))
+        group.stoppedAt = planning.now;
     if (!head)
-        return group.members.size() == 1 || abandonHead(planning, group);
-    group.abandonedSince = TimePoint{};
+        return group.members.size() == 1 || isBrokenByNow(planning, group);
     if (head->report.membership->phase == MembershipPhase::Open)
         group.isOpening = false;
     switch (head->report.membership->phase) {
--- a/src/libfleet/grouporders.cpp
+++ b/src/libfleet/grouporders.cpp
@@ -96,6 +96,8 @@
     if (isPending || !isAnswered)
         return;
     planner.orders.erase(found);
+    if (kind == OrderKind::Stage && outcome != OrderOutcome::Accepted)
+        planner.staging.erase(endpoint);
     const bool isLost = outcome == OrderOutcome::Outdated || outcome == OrderOutcome::WrongEndpoint;
     const bool isForming =
             planned != planner.groups.end() && planned->second.stage == GroupStage::Forming;
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -11,12 +11,6 @@
 // Epochs of one term; a later term's epochs are always higher.
 constexpr std::uint64_t EpochsPerTerm = 1'000'000;
 
-// Stands between the model and the head in the name of a group.
-std::string epochMark(std::uint64_t epoch)
-{
-    return "." + std::to_string(epoch) + ".";
-}
-
 void advanceGroup(Planning &planning, FleetGroup &group, const EngineProfile &engine, bool &isOver)
 {
     const std::optional<MissingMember> missing = missingMember(planning, group);
@@ -86,6 +80,16 @@
     return std::find(staged.begin(), staged.end(), model) != staged.end();
 }
 
+bool hasLoaded(const Endpoint &endpoint, const std::string &model)
+{
+    return endpoint.loadedModel == model;
+}
+
+bool holdsModel(const Endpoint &endpoint, const std::string &model)
+{
+    return hasLoaded(endpoint, model) || hasStaged(endpoint, model);
+}
+
 void setStage(FleetGroup &group, GroupStage stage, TimePoint now)
 {
     group.stage = stage;
@@ -117,7 +121,10 @@
         const Endpoint *endpoint = findEndpoint(table, item.first);
         return !endpoint || endpoint->lastReport > item.second;
     });
-    std::erase_if(planner.staging, [now](const auto &item) { return item.second.until <= now; });
+    std::erase_if(planner.staging, [&](const auto &item) {
+        const Endpoint *endpoint = findEndpoint(table, item.first);
+        return !endpoint || item.second.until <= now || hasStaged(*endpoint, item.second.model);
+    });
     std::erase_if(planner.stalledHeads, [&](const auto &item) {
         return now - item.second > planner.options.stallMemory;
     });
@@ -153,23 +160,6 @@
     last = std::max(last, at);
 }
 
-std::string groupName(const std::string &model, std::uint64_t epoch, const EndpointId &head)
-{
-    return model + epochMark(epoch) + head;
-}
-
-std::string modelOfGroup(const GroupMembership &membership)
-{
-    return membership.group.substr(0, membership.group.find(epochMark(membership.epoch)));
-}
-
-EndpointId headOfGroup(const GroupMembership &membership)
-{
-    const std::string mark = epochMark(membership.epoch);
-    const std::size_t place = membership.group.find(mark);
-    return place == std::string::npos ? EndpointId{} : membership.group.substr(place + mark.size());
-}
-
 const char *toString(OrderKind kind)
 {
     return OrderNames[static_cast<std::size_t>(kind)];
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/endpoints.h"
+#include "libfleet/groupname.h"
 #include "libfleet/serviceconfiguration.h"
 
 #include <deque>
@@ -62,7 +63,7 @@
     bool isOpening = false;      // an open order was obeyed and its effect is not reported yet
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
     std::set<EndpointId> left;         // members that have taken a leave order
-    TimePoint abandonedSince{};        // all known members have left a head that is silent
+    TimePoint stoppedAt{};             // a member is known to have left it, so nothing moves since
 };
 
 struct SentGroupOrder
@@ -85,8 +86,9 @@
 {
     Duration lossTimeout = std::chrono::milliseconds(3000);  // silence after which a VM is lost
     Duration stallTimeout = std::chrono::milliseconds(6000); // a group without a VM is broken after
-    Duration stallMargin = std::chrono::milliseconds(1500);
-    Duration orderTimeout = std::chrono::milliseconds(1500); // for an answer, and between repeats
+    Duration stallMargin = std::chrono::milliseconds(1000);
+    Duration closeAnswerTime = std::chrono::milliseconds(300); // of a head, before others leave it
+    Duration orderTimeout = std::chrono::milliseconds(1500);   // for an answer, and between repeats
     Duration formingTimeout = std::chrono::seconds(60);
     Duration closeTimeout = std::chrono::seconds(10); // for requests in progress at a planned close
     double balanceTolerance = 1.2; // relative excess of served share at which a model still grows
@@ -96,6 +98,10 @@
     // Without progress at any entry for this long, a reported stall counts.
     Duration stallSilence = std::chrono::milliseconds(300);
     double loadAt = 0.35; // part of a model's slots in use from which weights are loaded for it
+    bool formsAnyGroup = true; // also of a model that has more than its share, when it is in use
+    bool stagesStandbyModels = true; // VMs stage a model other than the one that they hold
+    // Part of the weight store's concurrent loads that may stage standby models.
+    double standbyLoads = 0.5;
     Duration repairTime = std::chrono::milliseconds(1500); // a closing group counts as serving
     // Before the first request groups form once no VM was added for `settleTime`, or after
     // `settleLimit`.
@@ -121,7 +127,7 @@
     std::map<EndpointId, SentGroupOrder> orders;
     std::set<std::string> ended; // groups that are over although members still report them
     std::map<EndpointId, TimePoint> suspects; // VMs in doubt until they report again
-    std::map<EndpointId, Staging> staging;    // spare VMs that load a model ahead
+    std::map<EndpointId, Staging> staging;    // VMs that load a model ahead of its use
     std::deque<TimePoint> loadStarts;
 };
 
@@ -143,12 +149,6 @@
 void noteOrderOutcome(GroupPlanner &planner, const EndpointId &endpoint, std::uint64_t number,
                       OrderOutcome outcome);
 
-// Name of a group. Its model and its head can be read back from it, so that a later leader knows
-// them from the report of any member.
-std::string groupName(const std::string &model, std::uint64_t epoch, const EndpointId &head);
-std::string modelOfGroup(const GroupMembership &membership);
-EndpointId headOfGroup(const GroupMembership &membership);
-
 const char *toString(OrderKind kind);
 
 } // namespace Trefoil
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -33,6 +33,13 @@
 
 bool isMember(const Endpoint &endpoint, const FleetGroup &group);
 bool hasStaged(const Endpoint &endpoint, const std::string &model);
+
+// The model was the one of the VM's last group, so the VM joins for it at once.
+bool hasLoaded(const Endpoint &endpoint, const std::string &model);
+
+// A join for the model needs no load from the weight store.
+bool holdsModel(const Endpoint &endpoint, const std::string &model);
+
 void setStage(FleetGroup &group, GroupStage stage, TimePoint now);
 
 // ---- Orders
@@ -86,8 +93,13 @@
 // True when the weight store may start one more load.
 bool mayStartLoad(Planning &planning, const EngineProfile &engine);
 
-// Loads models onto spare VMs that hold none, so that a later repair is fast.
+// Loads models onto free VMs that hold none, so that a group can form of them.
 void stageSpares(Planning &planning, const Service &service, const std::string &fabric,
                  const std::vector<const Endpoint *> &spares);
 
+// Stages on each VM a model other than the one that it holds, so that the VMs that a loss leaves
+// over fit every group.
+void stageStandbyModels(Planning &planning, const Service &service,
+                        const std::vector<const Endpoint *> &spares);
+
 } // namespace Trefoil
--- a/src/libfleet/weightstaging.cpp
+++ b/src/libfleet/weightstaging.cpp
@@ -1,6 +1,7 @@
 #include "libfleet/groupplanning.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Trefoil {
 
@@ -18,54 +19,92 @@
             const Endpoint *endpoint = planning.heard(id);
             const bool loading = endpoint && isMember(*endpoint, group)
                                  && endpoint->report.membership->phase == MembershipPhase::Joining
-                                 && !hasStaged(*endpoint, group.model);
+                                 && !holdsModel(*endpoint, group.model);
             count += loading ? 1 : 0;
         }
     }
     for (const auto &[id, order] : planning.planner.orders)
-        count += order.isLoad ? 1 : 0;
-    return count;
+        count += order.isLoad && order.kind != OrderKind::Stage ? 1 : 0;
+    return count + planning.planner.staging.size();
 }
 
 // Spares that hold or load a model.
-double stagedSpares(const Planning &planning, const std::vector<const Endpoint *> &spares,
-                    const std::string &model)
+std::size_t stagedSpares(const Planning &planning, const std::vector<const Endpoint *> &spares,
+                         const std::string &model)
 {
-    return static_cast<double>(
+    return static_cast<std::size_t>(
             std::count_if(spares.begin(), spares.end(), [&](const Endpoint *spare) {
                 const auto staging = planning.planner.staging.find(spare->report.id);
                 const bool isStaging =
                         staging != planning.planner.staging.end() && staging->second.model == model;
-                return isStaging || hasStaged(*spare, model);
+                return isStaging || holdsModel(*spare, model);
             }));
 }
 
-// The model that spares of a fabric should hold next: the largest of which they can make a whole
-// group, else of the models that serve there the one with the fewest spares.
+// The model that spares of a fabric should hold next: the one of which they make a whole group
+// after the fewest loads, else of the models that serve there the one with the fewest spares.
 const ModelProfile *modelToStage(const Planning &planning, const Service &service,
                                  const std::string &fabric,
                                  const std::vector<const Endpoint *> &spares)
 {
     const ModelProfile *whole = nullptr;
     const ModelProfile *chosen = nullptr;
+    std::size_t fewestLoads = std::numeric_limits<std::size_t>::max();
     double fewest = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models) {
-        const double staged = stagedSpares(planning, spares, model.name);
+        const std::size_t staged = stagedSpares(planning, spares, model.name);
         const bool fits = spares.size() >= model.vmsPerGroup && staged < model.vmsPerGroup;
-        if (fits && (!whole || whole->vmsPerGroup < model.vmsPerGroup))
+        if (fits && model.vmsPerGroup - staged < fewestLoads) {
             whole = &model;
+            fewestLoads = model.vmsPerGroup - staged;
+        }
         const bool serves = std::any_of(planning.planner.groups.begin(),
                                         planning.planner.groups.end(), [&](const auto &item) {
                                             return item.second.fabric == fabric
                                                    && item.second.model == model.name;
                                         });
-        const double relative = staged / model.vmsPerGroup;
+        const double relative = static_cast<double>(staged) / model.vmsPerGroup;
         if (serves && relative < fewest) {
             fewest = relative;
             chosen = &model;
         }
     }
-    return whole && whole->vmsPerGroup > 1 ? whole : chosen;
+    return whole ? whole : chosen;
+}
+
+void stage(Planning &planning, const Endpoint &vm, const ModelProfile &model, std::string why)
+{
+    FleetGroup none;
+    none.model = model.name;
+    if (order(planning, vm, none, OrderKind::Stage, std::move(why), true))
+        planning.planner.staging[vm.report.id] = {model.name, planning.now + 2 * model.loadTime};
+}
+
+// The first model that a VM neither holds nor loads, when a copy of it costs the VM none that it
+// needs.
+const ModelProfile *standbyModel(const Planning &planning, const EngineProfile &engine,
+                                 const Endpoint &vm)
+{
+    const auto &staged = vm.report.stagedModels;
+    const auto useful = std::count_if(staged.begin(), staged.end(),
+                                      [&vm](const auto &name) { return !hasLoaded(vm, name); });
+    const bool isFull = static_cast<std::uint32_t>(useful) >= engine.stagedModels;
+    if (isFull || planning.planner.staging.contains(vm.report.id))
+        return nullptr;
+    for (const ModelProfile &model : engine.models) {
+        if (!holdsModel(vm, model.name))
+            return &model;
+    }
+    return nullptr;
+}
+
+// True while the weight store has capacity to spare beside the loads that groups wait for.
+bool mayStageStandby(Planning &planning, const EngineProfile &engine)
+{
+    const GroupPlanner &planner = planning.planner;
+    const double limit = planner.options.standbyLoads * engine.concurrentLoads;
+    const bool isIdle = static_cast<double>(loadsInProgress(planning)) < limit;
+    return (!planner.hasTraffic || isIdle) && mayStartLoad(planning, engine);
 }
 
 } // namespace
@@ -84,22 +123,41 @@
            && loadsInProgress(planning) < engine.concurrentLoads;
 }
 
-// Loads models onto spare VMs that hold none, so that a later repair is fast.
 void stageSpares(Planning &planning, const Service &service, const std::string &fabric,
                  const std::vector<const Endpoint *> &spares)
 {
     for (const Endpoint *spare : spares) {
         const bool isStaging = planning.planner.staging.contains(spare->report.id);
-        if (!spare->report.stagedModels.empty() || isStaging)
+        if (!spare->loadedModel.empty() || !spare->report.stagedModels.empty() || isStaging)
             continue;
         const ModelProfile *model = modelToStage(planning, service, fabric, spares);
         if (!model || !mayStartLoad(planning, *service.engine))
             return;
-        FleetGroup none;
-        none.model = model->name;
-        if (order(planning, *spare, none, OrderKind::Stage, "spare VM", true))
-            planning.planner.staging[spare->report.id] = {model->name,
-                                                          planning.now + model->loadTime};
+        stage(planning, *spare, *model, "spare VM");
+    }
+}
+
+void stageStandbyModels(Planning &planning, const Service &service,
+                        const std::vector<const Endpoint *> &spares)
+{
+    if (!planning.planner.options.stagesStandbyModels)
+        return;
+    const auto stageOn = [&](const Endpoint &vm) {
+        const ModelProfile *model = standbyModel(planning, *service.engine, vm);
+        if (model && mayStageStandby(planning, *service.engine))
+            stage(planning, vm, *model, "standby model");
+    };
+    for (const Endpoint *spare : spares) {
+        if (!spare->loadedModel.empty())
+            stageOn(*spare);
+    }
+    for (const auto &[name, group] : planning.planner.groups) {
+        if (group.service != service.name || group.stage != GroupStage::Open)
+            continue;
+        for (const EndpointId &id : group.members) {
+            if (const Endpoint *member = planning.usable(id))
+                stageOn(*member);
+        }
     }
 }
 
--- a/tests/support/enginefleet.cpp
+++ b/tests/support/enginefleet.cpp
@@ -1,6 +1,7 @@
 #include "enginefleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Trefoil {
 
@@ -75,12 +76,11 @@
     return std::find(staged.begin(), staged.end(), model) != staged.end();
 }
 
-// Loads the model unless it is staged; returns how long it takes.
-Duration loadTime(EngineFleet &fleet, StandInEngine &engine, const ModelProfile &model)
+// Begins to load the model onto the host; returns how long it takes.
+Duration stageModel(EngineFleet &fleet, StandInEngine &engine, const ModelProfile &model)
 {
-    if (hasStaged(engine, model.name))
-        return model.warmTime;
-    engine.report.stagedModels = {model.name};
+    engine.report.stagedModels.clear(); // a host keeps one
+    engine.staging = model.name;
     if (!fleet.planner.hasTraffic)
         return model.loadTime / 10; // loads before the first request are fast and do not count
     fleet.loads.push_back(fleet.now);
@@ -91,6 +91,18 @@
     return model.loadTime;
 }
 
+// Time of a join for a model that the engine does not hold.
+Duration loadTime(EngineFleet &fleet, StandInEngine &engine, const ModelProfile &model)
+{
+    if (hasStaged(engine, model.name))
+        return model.warmTime;
+    if (engine.staging == model.name)
+        return engine.stagedAt - fleet.now + model.warmTime;
+    const Duration time = stageModel(fleet, engine, model);
+    engine.stagedAt = fleet.now + time;
+    return time;
+}
+
 OrderOutcome join(EngineFleet &fleet, StandInEngine &engine, const GroupOrder &order)
 {
     const auto &membership = engine.report.membership;
@@ -148,8 +160,9 @@
     if (order.kind == OrderKind::Join)
         return join(fleet, engine, order);
     if (order.kind == OrderKind::Stage) {
-        if (!hasStaged(engine, order.model))
-            loadTime(fleet, engine, *findModel(*fleet.config.services.front().engine, order.model));
+        const ModelProfile *model = findModel(*fleet.config.services.front().engine, order.model);
+        if (!hasStaged(engine, order.model) && engine.staging != order.model)
+            engine.stagedAt = fleet.now + stageModel(fleet, engine, *model);
         return OrderOutcome::Accepted;
     }
     if (!isSameGroup(engine, order.group, order.epoch))
@@ -254,6 +267,10 @@
 {
     if (!engine.isRunning)
         return;
+    if (!engine.staging.empty() && engine.stagedAt <= fleet.now) {
+        engine.report.stagedModels = {std::exchange(engine.staging, {})};
+        engine.nextReport = fleet.now;
+    }
     if (engine.report.membership && engine.changesAt <= fleet.now) {
         engine.changesAt = TimePoint::max();
         setPhase(fleet, engine, engine.nextPhase);
@@ -365,6 +382,14 @@
     return engine.report.id;
 }
 
+EndpointId addEngine(EngineFleet &fleet, const std::string &fabric)
+{
+    const std::string address = "10.0.1." + std::to_string(fleet.nextLife) + ":80";
+    const StandInEngine engine = newEngine(fleet, fabric, address);
+    fleet.engines[engine.report.id] = engine;
+    return engine.report.id;
+}
+
 void setCut(EngineFleet &fleet, const EndpointId &id, bool isCut)
 {
     fleet.engines.at(id).isCut = isCut;
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -24,6 +24,8 @@
     MembershipPhase nextPhase = MembershipPhase::Joining;
     std::vector<EndpointId> members; // of its group
     std::string lastModel;           // of its last group since the start
+    std::string staging;             // model that is loaded onto the host
+    TimePoint stagedAt{};
     std::uint64_t highestEpoch = 0;
     std::uint64_t highestFence = 0;
     TimePoint nextReport{};
@@ -92,6 +94,9 @@
 // Starts the engine again as another life with another id, which is returned.
 EndpointId restartEngine(EngineFleet &fleet, const EndpointId &id);
 
+// Adds an engine whose host holds no model. Returns its id.
+EndpointId addEngine(EngineFleet &fleet, const std::string &fabric);
+
 void setCut(EngineFleet &fleet, const EndpointId &id, bool isCut);
 void setDraining(EngineFleet &fleet, const EndpointId &id);
 
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace Trefoil {
 
 namespace {
@@ -25,6 +27,31 @@
     return {};
 }
 
+// Entries notice that the groups of lost VMs stand still.
+void reportStalls(EngineFleet &fleet)
+{
+    for (const auto &[name, group] : fleet.planner.groups) {
+        const bool isWhole = std::all_of(
+                group.members.begin(), group.members.end(), [&fleet](const EndpointId &id) {
+                    return fleet.engines.contains(id) && fleet.engines.at(id).isRunning;
+                });
+        if (group.stage == GroupStage::Open && !isWhole)
+            noteStall(fleet.planner, group.members.front(), fleet.now);
+    }
+}
+
+// A running VM of a group.
+EndpointId randomMember(EngineFleet &fleet)
+{
+    std::vector<EndpointId> members;
+    for (const auto &[id, engine] : fleet.engines) {
+        const auto &membership = engine.report.membership;
+        if (engine.isRunning && membership && membership->phase != MembershipPhase::Joining)
+            members.push_back(id);
+    }
+    return members[fleet.rng() % members.size()];
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(groups_form_from_nothing_in_the_shares_of_the_models)
@@ -217,6 +244,46 @@
     checkPromises(fleet);
 }
 
+// Load: every 2.6 s two VMs of groups are lost for good, and every 3 s two VMs come whose hosts
+// hold no model. 54 VMs in fabric domains of 9, groups of 4 and 3.
+BOOST_AUTO_TEST_CASE(vms_that_losses_leave_over_serve_again)
+{
+    EngineFleet fleet = makeEngineFleet(6, 1, 9);
+    auto &models = fleet.config.services.front().engine->models;
+    models[0].share = 0.57;
+    models[1].vmsPerGroup = 3;
+    models[1].share = 0.43;
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    double vmTime = 0;
+    double servingTime = 0;
+    for (int step = 0; step < 340; ++step) {
+        if (step % 26 == 0) {
+            crashEngine(fleet, anyMember(fleet, false));
+            crashEngine(fleet, randomMember(fleet));
+        }
+        if (step % 30 == 0) {
+            addEngine(fleet, "fabric-" + std::to_string(fleet.rng() % 6));
+            addEngine(fleet, "fabric-" + std::to_string(fleet.rng() % 6));
+        }
+        fleet.planner.sequences["large"] = 20.0 * static_cast<double>(openGroups(fleet, "large"));
+        fleet.planner.sequences["small"] = 20.0 * static_cast<double>(openGroups(fleet, "small"));
+        reportStalls(fleet);
+        runFleet(fleet, milliseconds(100));
+        vmTime += static_cast<double>(
+                std::count_if(fleet.engines.begin(), fleet.engines.end(),
+                              [](const auto &item) { return item.second.isRunning; }));
+        servingTime += static_cast<double>(4 * openGroups(fleet, "large")
+                                           + 3 * openGroups(fleet, "small"));
+    }
+    BOOST_TEST_MESSAGE("part of the VMs' time that served: " << servingTime / vmTime);
+    // 42 of 54 VMs serve when none is lost: 0.78. A loss may take a group of 3.5 VMs out for 3 s,
+    // and a lost head its survivors for 8 s: 0.22 of the VMs' time for 26 losses.
+    BOOST_CHECK_GT(servingTime / vmTime, 0.55);
+    checkPromises(fleet);
+}
+
 // Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
