--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <optional>
 #include <tuple>
 
@@ -32,21 +33,42 @@
     return !serves;
 }
 
-// VMs that serve a model for each unit of its share of the work.
-double servedShare(const Planning &planning, const std::string &service, const ModelProfile &model)
+// VMs of groups that serve a model or soon will.
+double servingVms(const Planning &planning, const std::string &service, const ModelProfile &model)
 {
     double vms = 0;
     for (const auto &[name, group] : planning.planner.groups) {
         const bool mayReturn =
                 planning.now - group.stageSince < planning.planner.options.repairTime;
-        if (group.service == service && group.model == model.name
+        if (group.service == service && group.model == model.name && !group.isWarmUp
             && (group.stage != GroupStage::Closing || mayReturn))
             vms += model.vmsPerGroup;
     }
-    return vms / std::max(model.share, 1e-3);
+    return vms;
 }
 
-// Part of the slots of a model's groups that is in use, 1 when it has none.
+double demandOf(const Planning &planning, const ModelProfile &model)
+{
+    const auto demand = planning.planner.demand.find(model.name);
+    return demand == planning.planner.demand.end() ? 0 : demand->second;
+}
+
+// Slots of a model's groups for each request that wants one, with `change` groups more. Before
+// there are requests: its VMs for each unit of its share of the work. The model with the least is
+// the neediest.
+double coverage(const Planning &planning, const Service &service, const ModelProfile &model,
+                double change = 0)
+{
+    const double groups = servingVms(planning, service.name, model) / model.vmsPerGroup + change;
+    double demand = 0;
+    for (const ModelProfile &other : service.engine->models)
+        demand += demandOf(planning, other);
+    if (!planning.planner.options.coversDemand || demand < service.engine->slots)
+        return groups * model.vmsPerGroup / std::max(model.share, 1e-3);
+    return groups * service.engine->slots / std::max(demandOf(planning, model), 1.0);
+}
+
+// Requests for each slot of a model's groups, 1 when it has none.
 double utilization(const Planning &planning, const Service &service, const ModelProfile &model)
 {
     double slots = 0;
@@ -57,10 +79,7 @@
     }
     if (slots == 0)
         return 1;
-    const auto sequences = planning.planner.sequences.find(model.name);
-    if (sequences == planning.planner.sequences.end())
-        return 0;
-    return sequences->second / slots;
+    return demandOf(planning, model) / slots;
 }
 
 // Loads that the fastest group of a model among these VMs needs.
@@ -109,6 +128,29 @@
     joinMembers(planning, added, *service.engine);
 }
 
+// Joins spare VMs to groups of their own, so that they hold the model that they have staged. They
+// join another group of the model at once then, and their hosts have room for a standby model.
+void warmSpares(Planning &planning, const Service &service, const std::string &fabric,
+                const std::vector<const Endpoint *> &spares)
+{
+    for (const Endpoint *spare : spares) {
+        const auto &staged = spare->report.stagedModels;
+        const bool isWarm = !spare->loadedModel.empty() || staged.empty();
+        if (isWarm || !findModel(*service.engine, staged.front()))
+            continue;
+        FleetGroup group;
+        group.epoch = planning.planner.nextEpoch++;
+        group.name = groupName(staged.front(), group.epoch, spare->report.id);
+        group.service = service.name;
+        group.model = staged.front();
+        group.fabric = fabric;
+        group.isWarmUp = true;
+        group.members = {spare->report.id};
+        setStage(group, GroupStage::Forming, planning.now);
+        joinMembers(planning, planning.planner.groups[group.name] = group, *service.engine);
+    }
+}
+
 struct GroupPlace
 {
     const ModelProfile *model = nullptr;
@@ -129,14 +171,14 @@
 
 // True when the VMs may form a group of the model now.
 bool mayForm(const Planning &planning, const Service &service, const ModelProfile &model,
-             const std::vector<const Endpoint *> &vms, double lowestShare)
+             const std::vector<const Endpoint *> &vms, double lowestCoverage)
 {
     const GroupPlannerOptions &options = planning.planner.options;
     if (model.vmsPerGroup > vms.size())
         return false;
     const std::size_t loads = neededLoads(vms, model);
-    const double share = servedShare(planning, service.name, model);
-    const bool isBalanced = share <= lowestShare * options.balanceTolerance;
+    const double covered = coverage(planning, service, model);
+    const bool isBalanced = covered <= lowestCoverage * options.balanceTolerance;
     if (!planning.planner.hasTraffic)
         return isBalanced;
     const bool isUsed = utilization(planning, service, model) > options.loadAt;
@@ -155,15 +197,15 @@
 {
     double lowest = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models)
-        lowest = std::min(lowest, servedShare(planning, service.name, model));
+        lowest = std::min(lowest, coverage(planning, service, model));
     const ModelProfile *chosen = nullptr;
-    double chosenShare = std::numeric_limits<double>::max();
+    double chosenCoverage = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models) {
-        const double share = servedShare(planning, service.name, model);
-        if (share >= chosenShare || !mayForm(planning, service, model, vms, lowest))
+        const double covered = coverage(planning, service, model);
+        if (covered >= chosenCoverage || !mayForm(planning, service, model, vms, lowest))
             continue;
         chosen = &model;
-        chosenShare = share;
+        chosenCoverage = covered;
     }
     return chosen;
 }
@@ -201,9 +243,90 @@
            || planning.now < planner.lastArrival + planner.options.settleTime;
 }
 
+// An open group of a model that has more groups than it needs.
+struct SpareGroups
+{
+    std::string fabric;
+    std::vector<FleetGroup *> groups; // that free enough VMs together
+    std::size_t leftover = 0;         // VMs that the new group does not need
+};
+
+// The groups of one fabric that have to close so that a group of `needy` can form at once.
+std::optional<SpareGroups> spareGroups(const Planning &planning, const Service &service,
+                                       const ModelProfile &needy, const ModelProfile &donor,
+                                       const FreeVms &freeByFabric)
+{
+    std::map<std::string, SpareGroups> byFabric;
+    std::map<std::string, std::size_t> vms;
+    for (const auto &[fabric, free] : freeByFabric)
+        vms[fabric] = needy.vmsPerGroup - neededLoads(free, needy);
+    for (auto &[name, group] : planning.planner.groups) {
+        const bool isDonor = group.service == service.name && group.model == donor.name
+                             && group.stage == GroupStage::Open;
+        if (!isDonor || vms[group.fabric] >= needy.vmsPerGroup)
+            continue;
+        const auto holders = static_cast<std::size_t>(std::count_if(
+                group.members.begin(), group.members.end(), [&](const EndpointId &id) {
+                    const Endpoint *member = planning.usable(id);
+                    return member && holdsModel(*member, needy.name);
+                }));
+        if (holders < group.members.size())
+            continue;
+        vms[group.fabric] += holders;
+        byFabric[group.fabric].groups.push_back(&group);
+    }
+    std::optional<SpareGroups> best;
+    for (auto &[fabric, spare] : byFabric) {
+        if (vms[fabric] < needy.vmsPerGroup)
+            continue;
+        spare.fabric = fabric;
+        spare.leftover = vms[fabric] - needy.vmsPerGroup;
+        const auto rank = [](const SpareGroups &places) {
+            return std::pair(places.groups.size(), places.leftover);
+        };
+        if (!best || rank(spare) < rank(*best))
+            best = spare;
+    }
+    return best;
+}
+
+// Closes groups of a model that has more than it needs, so that a group of the neediest one can
+// form of their VMs, when both are better covered afterwards than the neediest one is now.
+//
+// Load: losses leave over what fits the small model, so its groups multiply while the large model
+// refuses requests.
+void reassignGroups(Planning &planning, const Service &service, const FreeVms &freeByFabric)
+{
+    GroupPlanner &planner = planning.planner;
+    const GroupPlannerOptions &options = planner.options;
+    const bool isPaused = planning.now - planner.lastReassignment < options.reassignPause;
+    if (!options.reassignsGroups || !planner.hasTraffic || isPaused
+        || planning.now < planner.gatherUntil)
+        return;
+    for (const ModelProfile &needy : service.engine->models) {
+        for (const ModelProfile &donor : service.engine->models) {
+            if (demandOf(planning, needy) < 1 || &needy == &donor
+                || coverage(planning, service, needy) > options.reassignBelow)
+                continue;
+            const auto spare = spareGroups(planning, service, needy, donor, freeByFabric);
+            if (!spare)
+                continue;
+            const double loss = static_cast<double>(spare->groups.size());
+            const double after = coverage(planning, service, needy, 1);
+            if (coverage(planning, service, donor, -loss) < after * options.reassignMargin)
+                continue;
+            for (FleetGroup *group : spare->groups)
+                closeGroup(*group, "its VMs serve " + needy.name, CloseMode::FinishRequests,
+                           planning.now);
+            planner.lastReassignment = planning.now;
+            return;
+        }
+    }
+}
+
 } // namespace
 
-void joinMembers(Planning &planning, FleetGroup &group, const EngineProfile &engine)
+bool joinMembers(Planning &planning, FleetGroup &group, const EngineProfile &engine)
 {
     bool allReady = true;
     for (const EndpointId &id : group.members) {
@@ -218,8 +341,7 @@
             continue;
         order(planning, *endpoint, group, OrderKind::Join, "the group forms", isLoad);
     }
-    if (allReady)
-        setStage(group, GroupStage::Opening, planning.now);
+    return allReady;
 }
 
 void formGroups(Planning &planning, const Service &service)
@@ -235,6 +357,11 @@
     }
     while (const auto place = bestPlace(planning, service, freeByFabric))
         formGroup(planning, service, *place->model, place->fabric, freeByFabric[place->fabric]);
+    reassignGroups(planning, service, freeByFabric);
+    for (const auto &[fabric, free] : freeByFabric) {
+        if (planning.planner.options.warmsSpares)
+            warmSpares(planning, service, fabric, free);
+    }
     for (const auto &[fabric, free] : freeByFabric)
         stageSpares(planning, service, fabric, free);
     for (const auto &[fabric, free] : freeByFabric)
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -37,8 +37,7 @@
     return head.isSucceeded || (planning.heard(head.report.id) && !isMember(head, group));
 }
 
-// Orders the members to leave a head that does not answer. It may still serve behind a partition,
-// but without a member it stands still, and is broken after the stall timeout.
+// Orders the members to leave a head that does not answer.
 void leaveHead(Planning &planning, const FleetGroup &group)
 {
     for (const EndpointId &id : group.members) {
@@ -50,21 +49,17 @@
     }
 }
 
-// A member is known to have left the group.
-bool hasLostMember(const Planning &planning, const FleetGroup &group)
+// Takes members that have left a silent head out of the group, so that others can use them: without
+// them it stands still, wherever it is. The head stays: an open order may still take effect there,
+// and it may hold requests.
+void releaseMembers(const Planning &planning, FleetGroup &group)
 {
-    return std::any_of(group.members.begin() + 1, group.members.end(), [&](const EndpointId &id) {
+    const auto hasLeft = [&](const EndpointId &id) {
         const Endpoint *member = planning.heard(id);
         return member && (!isMember(*member, group) || group.left.contains(id));
-    });
-}
-
-// The head has stood still for so long that it is broken, wherever it is.
-bool isBrokenByNow(const Planning &planning, const FleetGroup &group)
-{
-    const GroupPlannerOptions &options = planning.planner.options;
-    return group.stoppedAt != TimePoint{}
-           && planning.now - group.stoppedAt > options.stallTimeout + options.stallMargin;
+    };
+    const auto left = std::remove_if(group.members.begin() + 1, group.members.end(), hasLeft);
+    group.members.erase(left, group.members.end());
 }
 
 } // namespace
@@ -95,14 +90,20 @@
     planner.suspects[id] = now;
 }
 
+void closeGroup(FleetGroup &group, std::string reason, CloseMode mode, TimePoint now)
+{
+    group.closeReason = std::move(reason);
+    group.closeMode = mode;
+    setStage(group, GroupStage::Closing, now);
+}
+
 void startClosing(Planning &planning, FleetGroup &group, const MissingMember &missing)
 {
-    group.closeReason = missing.id + " " + missing.reason;
     suspect(planning.planner, missing.id, planning.now);
     const Endpoint *heard = planning.heard(missing.id);
     const bool isPlanned = heard && (heard->report.isDraining || heard->hasLeft);
-    group.closeMode = isPlanned ? CloseMode::FinishRequests : CloseMode::CutRequests;
-    setStage(group, GroupStage::Closing, planning.now);
+    closeGroup(group, missing.id + " " + missing.reason,
+               isPlanned ? CloseMode::FinishRequests : CloseMode::CutRequests, planning.now);
 }
 
 // Frees the members once the head cannot serve any more. Returns true when the group is over.
@@ -117,10 +118,9 @@
             && planning.now - group.stageSince > planning.planner.options.closeAnswerTime;
     if (!head || isUnanswered)
         leaveHead(planning, group);
-    if (group.stoppedAt == TimePoint{} && hasLostMember(planning, group))
-        group.stoppedAt = planning.now;
+    releaseMembers(planning, group);
     if (!head)
-        return group.members.size() == 1 || isBrokenByNow(planning, group);
+        return !known;
     if (head->report.membership->phase == MembershipPhase::Open)
         group.isOpening = false;
     switch (head->report.membership->phase) {
--- a/src/libfleet/grouporders.cpp
+++ b/src/libfleet/grouporders.cpp
@@ -45,9 +45,13 @@
 void orderHead(Planning &planning, FleetGroup &group, const Endpoint &head, OrderKind kind,
                std::string why)
 {
-    const bool isDue = planning.now - group.lastHeadOrder > planning.planner.options.orderTimeout;
-    if (isDue && order(planning, head, group, kind, std::move(why)))
-        group.lastHeadOrder = planning.now;
+    const bool isDue =
+            kind != group.lastHeadKind
+            || planning.now - group.lastHeadOrder > planning.planner.options.orderTimeout;
+    if (!isDue || !order(planning, head, group, kind, std::move(why)))
+        return;
+    group.lastHeadOrder = planning.now;
+    group.lastHeadKind = kind;
 }
 
 void dropOverdueOrders(Planning &planning)
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -24,8 +24,12 @@
             suspect(planning.planner, missing->id, planning.now);
         isOver = missing.has_value()
                  || planning.now - group.stageSince > planning.planner.options.formingTimeout;
-        if (!isOver)
-            joinMembers(planning, group, engine);
+        if (isOver || !joinMembers(planning, group, engine))
+            return;
+        if (group.isWarmUp)
+            isOver = true;
+        else
+            setStage(group, GroupStage::Opening, planning.now);
         return;
     case GroupStage::Opening:
     case GroupStage::Open:
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -57,13 +57,14 @@
     TimePoint stageSince{};
     CloseMode closeMode = CloseMode::FinishRequests;
     std::string closeReason;
-    TimePoint lastHeadOrder{};   // last order to the head after it joined
+    TimePoint lastHeadOrder{}; // last order to the head after it joined
+    OrderKind lastHeadKind = OrderKind::Join;
+    bool isWarmUp = false;       // of one spare VM, which loads the model and never serves
     bool isAdopted = false;      // formed by an earlier leader
     std::set<EndpointId> fenced; // members of an adopted group that obeyed this leader
     bool isOpening = false;      // an open order was obeyed and its effect is not reported yet
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
     std::set<EndpointId> left;         // members that have taken a leave order
-    TimePoint stoppedAt{};             // a member is known to have left it, so nothing moves since
 };
 
 struct SentGroupOrder
@@ -84,9 +85,7 @@
 
 struct GroupPlannerOptions
 {
-    Duration lossTimeout = std::chrono::milliseconds(3000);  // silence after which a VM is lost
-    Duration stallTimeout = std::chrono::milliseconds(6000); // a group without a VM is broken after
-    Duration stallMargin = std::chrono::milliseconds(1000);
+    Duration lossTimeout = std::chrono::milliseconds(3000);    // silence after which a VM is lost
     Duration closeAnswerTime = std::chrono::milliseconds(300); // of a head, before others leave it
     Duration orderTimeout = std::chrono::milliseconds(1500);   // for an answer, and between repeats
     Duration formingTimeout = std::chrono::seconds(60);
@@ -99,9 +98,16 @@
     Duration stallSilence = std::chrono::milliseconds(300);
     double loadAt = 0.35; // part of a model's slots in use from which weights are loaded for it
     bool formsAnyGroup = true; // also of a model that has more than its share, when it is in use
+    bool coversDemand = true;  // models are balanced by their requests, not by their shares
+    bool reassignsGroups = true;
+    // Slots for each request below which a model takes VMs of another one.
+    double reassignBelow = 1.5;
+    double reassignMargin = 1.1; // by which the other one stays better covered
+    Duration reassignPause = std::chrono::milliseconds(2000);
+    bool warmsSpares = true;         // spare VMs load the model that they have staged
     bool stagesStandbyModels = true; // VMs stage a model other than the one that they hold
     // Part of the weight store's concurrent loads that may stage standby models.
-    double standbyLoads = 0.5;
+    double standbyLoads = 0.2;
     Duration repairTime = std::chrono::milliseconds(1500); // a closing group counts as serving
     // Before the first request groups form once no VM was added for `settleTime`, or after
     // `settleLimit`.
@@ -120,7 +126,8 @@
     std::size_t knownVms = 0; // at the last step
     TimePoint lastArrival{};  // of a VM
     bool hasTraffic = true;
-    std::map<std::string, double> sequences;         // in progress, by model, over all entries
+    // Requests that would be in progress if none were refused, by model, over all entries.
+    std::map<std::string, double> demand;
     std::map<EndpointId, TimePoint> stalledHeads;    // heads without progress, as entries report
     std::map<EndpointId, TimePoint> progressedHeads; // last progress that any entry saw
     std::map<std::string, FleetGroup> groups;
@@ -129,6 +136,7 @@
     std::map<EndpointId, TimePoint> suspects; // VMs in doubt until they report again
     std::map<EndpointId, Staging> staging;    // VMs that load a model ahead of its use
     std::deque<TimePoint> loadStarts;
+    TimePoint lastReassignment{};
 };
 
 // Starts the planner of a new leader.
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -62,6 +62,9 @@
 // Keeps a VM out of new groups until it reports again.
 void suspect(GroupPlanner &planner, const EndpointId &id, TimePoint now);
 
+// Ends the group for this reason.
+void closeGroup(FleetGroup &group, std::string reason, CloseMode mode, TimePoint now);
+
 void startClosing(Planning &planning, FleetGroup &group, const MissingMember &missing);
 
 // Frees the members once the head cannot serve any more. Returns true when the group is over.
@@ -82,8 +85,8 @@
 
 // ---- Forming
 
-// Joins the members of a forming group and opens it once all are ready.
-void joinMembers(Planning &planning, FleetGroup &group, const EngineProfile &engine);
+// Joins the members of a forming group. Returns true once all are ready.
+bool joinMembers(Planning &planning, FleetGroup &group, const EngineProfile &engine);
 
 // Forms groups of free VMs.
 void formGroups(Planning &planning, const Service &service);
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -18,6 +18,9 @@
 constexpr std::uint32_t MinimumSamples = 3;
 constexpr Duration DefaultServiceTime = std::chrono::milliseconds(20);
 constexpr Duration MinimumRetryAfter = std::chrono::milliseconds(150);
+constexpr double UsualSeconds = 1; // of a request of a model that nothing is known of
+constexpr double LeastSeconds = 0.2;
+constexpr double MostSeconds = 5;
 
 double toMs(Duration duration)
 {
@@ -136,6 +139,17 @@
     rate.last = now;
 }
 
+double rateAt(const std::map<std::string, ArrivalRate> &rates, const std::string &model,
+              Duration window, TimePoint now)
+{
+    const auto found = rates.find(model);
+    if (found == rates.end())
+        return 0;
+    const double passed = std::chrono::duration<double>(now - found->second.last).count();
+    return found->second.perSecond
+           * std::exp(-passed / std::chrono::duration<double>(window).count());
+}
+
 // Load of an engine in requests; engines that fail or refuse count as fuller than they are.
 double effectiveLoad(const OpenEndpoint &open, TimePoint now)
 {
@@ -223,6 +237,40 @@
     return *best;
 }
 
+Placement choosePlacement(PlacementState &state, const PlacementRequest &request, TimePoint now)
+{
+    Placement placement;
+    const auto all = candidates(state, *request.config, request.service, request.model, now);
+    placement.candidates = all.size();
+    placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
+    if (!request.model.empty())
+        noteArrival(state.arrivals[request.model], state.options.rateWindow, now);
+    const std::vector<OpenEndpoint> open = openEndpoints(state, request, all, now);
+    if (open.empty())
+        return placement;
+    const OpenEndpoint *best = &cheapest(state, open, now);
+    if (!request.model.empty()) {
+        const ArrivalRate &rate = state.arrivals[request.model];
+        const double age = std::chrono::duration<double>(state.loadAge).count();
+        const double unseen = rate.perSecond * age * static_cast<double>(state.entries - 1);
+        const OpenEndpoint &picked = pickByStaleLoads(state, open, 1 + unseen, now);
+        if (!isTooLate(state, request, expectedFirstEvent(state, request, picked.estimate)))
+            best = &picked;
+    }
+    const EndpointReport &report = best->endpoint->report;
+    placement.estimate = best->estimate;
+    placement.endpoint = report.id;
+    placement.address = report.address;
+    placement.startedAtMs = report.startedAtMs;
+    placement.verdict = PlacementVerdict::Send;
+    const Duration expected = expectedFirstEvent(state, request, placement.estimate);
+    if (isTooLate(state, request, expected)) {
+        placement.verdict = PlacementVerdict::Overloaded;
+        placement.retryAfter = retryAfter(request, expected);
+    }
+    return placement;
+}
+
 } // namespace
 
 std::vector<const Endpoint *> candidates(const PlacementState &state,
@@ -252,39 +300,24 @@
     return found;
 }
 
+double modelDemand(const PlacementState &state, const std::string &model, double inProgress,
+                   TimePoint now)
+{
+    const Duration window = state.options.rateWindow;
+    const double offered = rateAt(state.arrivals, model, window, now);
+    const double refused = rateAt(state.refusals, model, window, now);
+    const double taken = offered - refused;
+    const double seconds = taken > 0 && inProgress > 0 ? inProgress / taken : UsualSeconds;
+    return inProgress + refused * std::clamp(seconds, LeastSeconds, MostSeconds);
+}
+
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now)
 {
-    Placement placement;
-    const auto all = candidates(state, *request.config, request.service, request.model, now);
-    placement.candidates = all.size();
-    placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
-    const std::vector<OpenEndpoint> open = openEndpoints(state, request, all, now);
-    if (open.empty())
-        return placement;
-    const OpenEndpoint *best = &cheapest(state, open, now);
-    if (!request.model.empty()) {
-        ArrivalRate &rate = state.arrivals[request.model];
-        noteArrival(rate, state.options.rateWindow, now);
-        const double age = std::chrono::duration<double>(state.loadAge).count();
-        const double unseen = rate.perSecond * age * static_cast<double>(state.entries - 1);
-        const OpenEndpoint &picked = pickByStaleLoads(state, open, 1 + unseen, now);
-        if (!isTooLate(state, request, expectedFirstEvent(state, request, picked.estimate)))
-            best = &picked;
-    }
-    const EndpointReport &report = best->endpoint->report;
-    placement.estimate = best->estimate;
-    placement.endpoint = report.id;
-    placement.address = report.address;
-    placement.startedAtMs = report.startedAtMs;
-    placement.verdict = PlacementVerdict::Send;
-    const Duration expected = expectedFirstEvent(state, request, placement.estimate);
-    if (isTooLate(state, request, expected)) {
-        placement.verdict = PlacementVerdict::Overloaded;
-        placement.retryAfter = retryAfter(request, expected);
-    }
+    Placement placement = choosePlacement(state, request, now);
+    if (!request.model.empty() && placement.verdict != PlacementVerdict::Send)
+        noteArrival(state.refusals[request.model], state.options.rateWindow, now);
     return placement;
 }
-
 LoadKey loadKey(const EndpointId &endpoint)
 {
     return XXH32(endpoint.data(), endpoint.size(), 0);
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -80,6 +80,7 @@
     std::unordered_map<EndpointId, EndpointHealth> health;
     std::map<std::string, FirstEventOverhead> overheads; // by model
     std::map<std::string, ArrivalRate> arrivals;         // at this entry, by model
+    std::map<std::string, ArrivalRate> refusals;         // of these
     std::size_t entries = 1;                             // that share the endpoints
     Duration loadAge{};                                  // of what the others told of their loads
     std::string domain;                                  // failure domain of this entry
@@ -118,6 +119,11 @@
 
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now);
 
+// Requests of a model that this entry would have in progress if it refused none, from those in
+// progress and the rates of requests and refusals.
+double modelDemand(const PlacementState &state, const std::string &model, double inProgress,
+                   TimePoint now);
+
 // All entries' load on an endpoint.
 GroupLoad totalLoad(const PlacementState &state, const EndpointId &endpoint, TimePoint now);
 
--- a/src/libfleet/weightstaging.cpp
+++ b/src/libfleet/weightstaging.cpp
@@ -41,31 +41,44 @@
             }));
 }
 
+// Models that groups of a fabric serve.
+bool isServed(const Planning &planning, const std::string &fabric, const ModelProfile &model)
+{
+    const auto &groups = planning.planner.groups;
+    return std::any_of(groups.begin(), groups.end(), [&](const auto &item) {
+        const FleetGroup &group = item.second;
+        return group.fabric == fabric && !group.isWarmUp && group.model == model.name;
+    });
+}
+
 // The model that spares of a fabric should hold next: the one of which they make a whole group
-// after the fewest loads, else of the models that serve there the one with the fewest spares.
+// soonest, else of the models that serve there the one that loads fastest. Standby copies on the
+// VMs of groups provide the others. Before the first request, when loads cost little: the one that
+// the fewest spares hold.
 const ModelProfile *modelToStage(const Planning &planning, const Service &service,
                                  const std::string &fabric,
                                  const std::vector<const Endpoint *> &spares)
 {
     const ModelProfile *whole = nullptr;
     const ModelProfile *chosen = nullptr;
-    std::size_t fewestLoads = std::numeric_limits<std::size_t>::max();
-    double fewest = std::numeric_limits<double>::max();
+    Duration soonest = Duration::max();
+    double lowestRank = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models) {
         const std::size_t staged = stagedSpares(planning, spares, model.name);
         const bool fits = spares.size() >= model.vmsPerGroup && staged < model.vmsPerGroup;
-        if (fits && model.vmsPerGroup - staged < fewestLoads) {
+        const Duration time =
+                model.loadTime
+                * static_cast<Duration::rep>(model.vmsPerGroup
+                                             - std::min<std::size_t>(staged, model.vmsPerGroup));
+        if (fits && time < soonest) {
             whole = &model;
-            fewestLoads = model.vmsPerGroup - staged;
+            soonest = time;
         }
-        const bool serves = std::any_of(planning.planner.groups.begin(),
-                                        planning.planner.groups.end(), [&](const auto &item) {
-                                            return item.second.fabric == fabric
-                                                   && item.second.model == model.name;
-                                        });
-        const double relative = static_cast<double>(staged) / model.vmsPerGroup;
-        if (serves && relative < fewest) {
-            fewest = relative;
+        const double rank = planning.planner.hasTraffic
+                                    ? std::chrono::duration<double>(model.loadTime).count()
+                                    : static_cast<double>(staged) / model.vmsPerGroup;
+        if (isServed(planning, fabric, model) && rank < lowestRank) {
+            lowestRank = rank;
             chosen = &model;
         }
     }
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -388,6 +388,8 @@
               {"address", known->report.address},
               {"draining", known->report.isDraining ? "yes" : "no"},
               {"left", known->hasLeft ? "yes" : "no"},
+              {"fabric", known->report.fabric},
+              {"staged", joinTexts(known->report.stagedModels)},
               {"group", membership ? membership->group : ""},
               {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
     changed_.insert(endpoint);
@@ -673,7 +675,6 @@
         if (leads && (!planner_ || planner_->term != seat_->term())) {
             GroupPlannerOptions options;
             options.lossTimeout = lossTimeout();
-            options.stallTimeout = settings_.stallTimeout;
             options.stalledLossTimeout = settings_.heartbeat * 11 / 8;
             options.gatherTime = settings_.heartbeat * 3 / 2;
             planner_ = makeGroupPlanner(options, seat_->term(), now);
@@ -690,10 +691,10 @@
     // Loads are cheap only before the first request of a system that starts for the first time.
     const bool mayBeUnused = settings_.isFirstStart && now - startedAt_ < FirstStartTime;
     planner_->hasTraffic = hasTraffic_ || !mayBeUnused;
-    planner_->sequences.clear();
+    planner_->demand.clear();
     for (const auto &[pointer, link] : accepted_) {
-        for (const auto &[model, count] : link->hello.sequences)
-            planner_->sequences[model] += count;
+        for (const auto &[model, count] : link->hello.demand)
+            planner_->demand[model] += count;
     }
     for (GroupOrder &order : planGroups(*planner_, table_, *config, now)) {
         logEvent(Event::GroupOrdered, {{"order", toString(order.kind)},
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -275,7 +275,8 @@
         if (now - at < StallRetention)
             hello.stalled.push_back(id);
     }
-    hello.sequences = state_.sequences;
+    for (const auto &[model, inProgress] : state_.sequences)
+        hello.demand[model] = modelDemand(state_.placement, model, inProgress, now);
     for (const auto &[address, control] : controls_.peers()) {
         for (const KnownNode &node : control.nodes) {
             if (!control.link || node.leadsInTerm <= hello.leaderTerm)
--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -53,7 +53,6 @@
             {"tolerated_losses", count(settings.toleratedLosses, 0, 3)},
             {"heartbeat", duration(settings.heartbeat, 20 * Ms, 60 * Second)},
             {"stop_bound", duration(settings.stopBound, 100 * Ms, Hour)},
-            {"stall_timeout", duration(settings.stallTimeout, 100 * Ms, Hour)},
             {"entry_list_lifetime", duration(settings.entryListLifetime, Second, Hour)},
             {"retry_ratio", number(settings.retryBudget.ratio, 0, 10)},
             {"retry_window", duration(settings.retryBudget.window, Second, Hour)},
--- a/src/libgateway/gatewaysettings.h
+++ b/src/libgateway/gatewaysettings.h
@@ -31,7 +31,6 @@
     std::size_t maxConnections = 4096;
     Duration heartbeat = std::chrono::seconds(1); // of endpoints
     Duration stopBound = std::chrono::seconds(8);
-    Duration stallTimeout = std::chrono::seconds(6); // a group without a VM is broken after this
     Duration entryListLifetime = std::chrono::seconds(2);
     WindowedBudgetOptions retryBudget;
 };
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -36,8 +36,9 @@
         std::uint32_t ageMs = 0;
     };
     std::vector<Progress> progress;
-    std::vector<EndpointId> stalled;         // heads without progress for their requests
-    std::map<std::string, double> sequences; // requests in progress, by model
+    std::vector<EndpointId> stalled; // heads without progress for their requests
+    // Requests that would be in progress if the entry refused none, by model.
+    std::map<std::string, double> demand;
 
     // The latest leader that this node knows of; entries carry it between parted control VMs.
     Term leaderTerm = 0;
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -165,7 +165,7 @@
     checkPromises(fleet);
 }
 
-BOOST_AUTO_TEST_CASE(members_of_a_silent_head_wait_until_it_is_broken)
+BOOST_AUTO_TEST_CASE(members_leave_a_silent_head_before_they_join_others)
 {
     EngineFleet fleet = makeEngineFleet(2, 1);
     runFleet(fleet, seconds(60));
@@ -267,8 +267,8 @@
             addEngine(fleet, "fabric-" + std::to_string(fleet.rng() % 6));
             addEngine(fleet, "fabric-" + std::to_string(fleet.rng() % 6));
         }
-        fleet.planner.sequences["large"] = 20.0 * static_cast<double>(openGroups(fleet, "large"));
-        fleet.planner.sequences["small"] = 20.0 * static_cast<double>(openGroups(fleet, "small"));
+        fleet.planner.demand["large"] = 20.0 * static_cast<double>(openGroups(fleet, "large"));
+        fleet.planner.demand["small"] = 20.0 * static_cast<double>(openGroups(fleet, "small"));
         reportStalls(fleet);
         runFleet(fleet, milliseconds(100));
         vmTime += static_cast<double>(
