libfleet: standby models are staged also where no VM is free; tests of reassignment, repair after a leader change and late opens

stageStandbyModels ran only for fabrics with free VMs, so fleets whose groups use every VM (the earlier sites) staged none.

--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -364,8 +364,10 @@
     }
     for (const auto &[fabric, free] : freeByFabric)
         stageSpares(planning, service, fabric, free);
+    std::vector<const Endpoint *> spares;
     for (const auto &[fabric, free] : freeByFabric)
-        stageStandbyModels(planning, service, free);
+        spares.insert(spares.end(), free.begin(), free.end());
+    stageStandbyModels(planning, service, spares);
 }
 
 } // namespace Trefoil
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -420,6 +420,20 @@
     BOOST_CHECK(isUsable(*findEndpoint(state.table, "e1"), seconds(1), Start));
 }
 
+// Load: half of the requests of a model are refused; the leader must see twice the demand.
+BOOST_AUTO_TEST_CASE(demand_counts_refused_requests)
+{
+    PlacementState state;
+    state.arrivals["m"] = {20, Start};
+    state.refusals["m"] = {10, Start};
+    BOOST_CHECK_CLOSE(modelDemand(state, "m", 15, Start), 30, 0.1);
+    // All are refused: each counts for one second.
+    state.refusals["m"] = {20, Start};
+    BOOST_CHECK_CLOSE(modelDemand(state, "m", 0, Start), 20, 0.1);
+    // The rates decay.
+    BOOST_CHECK_LT(modelDemand(state, "m", 0, Start + seconds(20)), 0.1);
+}
+
 BOOST_AUTO_TEST_CASE(loads_are_given_back)
 {
     PlacementState state = twoEndpoints();
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -100,6 +100,34 @@
     return sum / seeds;
 }
 
+// Time from the loss of a VM to as many open groups as before.
+Duration repairTime(bool changesLeader)
+{
+    EngineFleet fleet = makeEngineFleet(6, 1, 9);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    if (changesLeader)
+        changeLeader(fleet);
+    runFleet(fleet, seconds(5));
+    const std::size_t before = openGroups(fleet, "large") + openGroups(fleet, "small");
+    const EndpointId lost = anyMember(fleet, false);
+    const std::string group = fleet.engines.at(lost).report.membership->group;
+    crashEngine(fleet, lost);
+    Duration waited{};
+    const auto isRepaired = [&] {
+        return !fleet.planner.groups.contains(group)
+               && openGroups(fleet, "large") + openGroups(fleet, "small") >= before;
+    };
+    while (!isRepaired() && waited < seconds(10)) {
+        reportStalls(fleet);
+        runFleet(fleet, milliseconds(50));
+        waited += milliseconds(50);
+    }
+    checkPromises(fleet);
+    return waited;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(groups_form_from_nothing_in_the_shares_of_the_models)
@@ -317,6 +345,61 @@
     BOOST_CHECK_GT(part, withoutWarmSpares);
 }
 
+// Load: the large model has more requests than slots and refuses some, the small one is hardly
+// used.
+BOOST_AUTO_TEST_CASE(groups_of_a_model_that_is_hardly_used_give_way)
+{
+    EngineFleet fleet = makeEngineFleet(3, 1);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    const std::size_t before = openGroups(fleet, "large");
+    fleet.planner.demand["large"] = 100;
+    fleet.planner.demand["small"] = 5;
+    // Closing, rejoining and opening take 0.1, 1.6 and 0.3 s, and requests finish within 1 s.
+    runFleet(fleet, seconds(4));
+    BOOST_CHECK_GT(openGroups(fleet, "large"), before);
+    BOOST_CHECK_GE(openGroups(fleet, "small"), 1);
+    checkPromises(fleet);
+}
+
+// Load: losses after a change of the leader, whose groups must be left by order before they are
+// free.
+BOOST_AUTO_TEST_CASE(a_group_of_an_earlier_leader_is_repaired_as_fast_as_an_own_one)
+{
+    // Reports and one more order to each member.
+    constexpr auto allowance = milliseconds(300);
+    BOOST_CHECK_LE(repairTime(true).count(), (repairTime(false) + allowance).count());
+}
+
+// Load: an open order that gets no answer is carried out 12 s later, when the silent head was given
+// up and reports again.
+BOOST_AUTO_TEST_CASE(a_head_that_may_open_late_is_left_before_it_is_used_again)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    const auto pendingOpen = [&fleet] {
+        return std::find_if(fleet.orders.begin(), fleet.orders.end(), [](const auto &delayed) {
+            return delayed.order.kind == OrderKind::Open && delayed.order.model == "large";
+        });
+    };
+    while (pendingOpen() == fleet.orders.end())
+        runFleet(fleet, milliseconds(10));
+    const auto late = pendingOpen();
+    const EndpointId head = late->order.endpoint;
+    late->isAnswered = false;
+    late->at = fleet.now + milliseconds(11'600);
+    setCut(fleet, head, true);
+    runFleet(fleet, milliseconds(11'850));
+    // The head opens while its report that it is ready is on the way.
+    DelayedReport ready{fleet.now + milliseconds(100), fleet.now, fleet.engines.at(head).report};
+    ++ready.report.sequence;
+    fleet.reports.push_back(ready);
+    runFleet(fleet, milliseconds(70));
+    setCut(fleet, head, false);
+    runFleet(fleet, seconds(20));
+    checkPromises(fleet);
+}
+
 // Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
