--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -300,6 +300,12 @@
     return found;
 }
 
+bool hasOtherEndpoint(const PlacementState &state, const PlacementRequest &request, TimePoint now)
+{
+    const auto all = candidates(state, *request.config, request.service, request.model, now);
+    return !openEndpoints(state, request, all, now).empty();
+}
+
 double modelDemand(const PlacementState &state, const std::string &model, double inProgress,
                    TimePoint now)
 {
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -119,6 +119,9 @@
 
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now);
 
+// Whether an endpoint that the request has not tried could take it.
+bool hasOtherEndpoint(const PlacementState &state, const PlacementRequest &request, TimePoint now);
+
 // Requests of a model that this entry would have in progress if it refused none, from those in
 // progress and the rates of requests and refusals.
 double modelDemand(const PlacementState &state, const std::string &model, double inProgress,
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -408,6 +408,12 @@
     }
 
     Placement place(const RelayRequest &request, const Progress &progress, TimePoint now)
+    {
+        return placeRequest(state_.placement, placementRequest(request, progress, now), now);
+    }
+
+    static PlacementRequest placementRequest(const RelayRequest &request, const Progress &progress,
+                                             TimePoint now)
     {
         PlacementRequest wanted;
         wanted.config = request.config.get();
@@ -419,7 +425,7 @@
         wanted.targetLeft = request.targetUntil - now;
         wanted.tried = progress.tried;
         wanted.isResumption = progress.sends > 0;
-        return placeRequest(state_.placement, wanted, now);
+        return wanted;
     }
 
     static bool mayTryAgain(const RelayRequest &request, const Progress &progress)
@@ -731,8 +737,16 @@
                 overdueSince.reset();
             else if (!overdueSince)
                 overdueSince = now;
-            else if (now >= *overdueSince + StallConfirmation)
-                co_return noteNoProgress(progress, hasProgress, now >= stall.endpointStalledAt);
+            else if (now >= *overdueSince + StallConfirmation) {
+                // A slow stream that has nowhere to go is not cut as soon as others.
+                const bool isLeft =
+                        now >= stall.requestStuckAt
+                        || hasOtherEndpoint(state_.placement,
+                                            placementRequest(request, progress, now), now);
+                if (isLeft)
+                    co_return noteNoProgress(progress, hasProgress, now >= stall.endpointStalledAt);
+                overdueSince = now;
+            }
             co_await signal_.wait(std::min(request.until,
                                            overdueSince ? *overdueSince + StallConfirmation : due));
         }
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 // The relay between a caller and scripted endpoints over loopback. Each case is one exchange.
 
 namespace Trefoil {
@@ -31,6 +33,8 @@
     bool closesAfterAnswer = false;
     std::string endless; // is sent behind the answer until the relay closes the connection
     std::size_t endlessBytes = 0;
+    std::chrono::milliseconds pause{}; // before each piece of the endless bytes
+    std::size_t pieces = std::numeric_limits<std::size_t>::max(); // of these at most
     std::vector<HttpHead> heads;
     std::vector<std::string> bodies;
     bool wasLeft = false; // the relay closed the connection
@@ -58,7 +62,11 @@
         if (endpoint.closesAfterAnswer)
             break;
         bool isOpen = !endpoint.endless.empty();
-        while (isOpen) {
+        for (std::size_t piece = 0; isOpen && piece < endpoint.pieces; ++piece) {
+            if (endpoint.pause > milliseconds(0)) {
+                RuntimeTimer timer(channel->executor(), RuntimeClock::now() + endpoint.pause);
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             isOpen = co_await channel->write(endpoint.endless, RuntimeClock::now() + seconds(5));
             endpoint.endlessBytes += endpoint.endless.size();
         }
@@ -73,8 +81,11 @@
 {
     asio::io_context context{1};
     EntryState state{context, settings()};
-    ScriptedEndpoint first{"e1", {}, false, {}, 0, {}, {}, false, nullptr, {}};
-    ScriptedEndpoint second{"e2", {}, false, {}, 0, {}, {}, false, nullptr, {}};
+    ScriptedEndpoint first{"e1", {}, false, {},      0, {}, std::numeric_limits<std::size_t>::max(),
+                           {},   {}, false, nullptr, {}};
+    ScriptedEndpoint second{
+            "e2", {}, false, {},      0, {}, std::numeric_limits<std::size_t>::max(),
+            {},   {}, false, nullptr, {}};
     std::unique_ptr<ChannelListener> entry;
     std::string answer; // what the caller got until the connection ended or it had enough
 
@@ -393,6 +404,33 @@
     BOOST_CHECK(!contains(world.answer, "\r\n0\r\n\r\n"));
 }
 
+// The only endpoint is slow: events come 0.7 s apart, where 0.45 s are usual.
+BOOST_AUTO_TEST_CASE(a_slow_stream_that_has_nowhere_to_go_is_not_cut)
+{
+    World world;
+    world.first.answers = {streamHead() + "7\r\nid: 0\n\n\r\n"};
+    world.first.endless = "7\r\nid: 1\n\n\r\n";
+    world.first.pause = milliseconds(700);
+    world.first.pieces = 1;
+    world.publish(RouteKind::Stream, 1);
+    world.exchange(request(Key, "x"), "id: 1");
+    BOOST_CHECK(world.answer.find("id: 1") != std::string::npos);
+}
+
+// A byte now and then that completes no event is no progress.
+BOOST_AUTO_TEST_CASE(a_stream_that_trickles_goes_on_at_another_endpoint)
+{
+    World world;
+    world.first.answers = {streamHead() + "7\r\nid: 0\n\n\r\n"};
+    world.first.endless = "1\r\na\r\n";
+    world.first.pause = milliseconds(100);
+    world.second.answers = {streamHead() + "7\r\nid: 1\n\n\r\n0\r\n\r\n"};
+    world.publish(RouteKind::Stream, 2);
+    world.exchange(request(Key, "x"), "\r\n0\r\n\r\n");
+    BOOST_CHECK(world.answer.find("id: 1") != std::string::npos);
+    BOOST_CHECK(world.first.wasLeft);
+}
+
 // An endpoint that sends bytes without end, until the relay closes the connection.
 struct EndlessCase
 {
