--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -363,6 +363,20 @@
     checkPromises(fleet);
 }
 
+// Load: losses leave fabrics in which the large model, which is the neediest, fits nowhere.
+BOOST_AUTO_TEST_CASE(vms_serve_what_fits_when_the_neediest_model_fits_nowhere)
+{
+    EngineFleet fleet = makeEngineFleet(4, 1, 3);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    fleet.planner.demand["large"] = 100;
+    fleet.planner.demand["small"] = 60;
+    runFleet(fleet, seconds(30));
+    BOOST_CHECK_EQUAL(openGroups(fleet, "small"), 4);
+    checkPromises(fleet);
+}
+
 // Load: losses after a change of the leader, whose groups must be left by order before they are
 // free.
 BOOST_AUTO_TEST_CASE(a_group_of_an_earlier_leader_is_repaired_as_fast_as_an_own_one)
