--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -69,8 +69,6 @@
 
 } // namespace
 
-// Repeats the join to each member of an adopted group, so that late orders of earlier leaders are
-// refused before the group opens. Returns true once all have obeyed.
 bool fenceMembers(Planning &planning, const FleetGroup &group)
 {
     bool isDone = true;
@@ -83,7 +81,6 @@
     return isDone;
 }
 
-// Forgets ended groups that nobody reports any more.
 void forgetEnded(Planning &planning)
 {
     std::set<std::string> reported;
@@ -95,8 +92,6 @@
                   [&reported](const std::string &name) { return !reported.contains(name); });
 }
 
-// Takes over the groups of an earlier leader. Groups that cannot go on are closed; those that were
-// never opened are forgotten, so that their members can be joined to others.
 void adoptGroups(Planning &planning)
 {
     addLateMembers(planning);
--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -110,22 +110,31 @@
               [&rank](const Endpoint *a, const Endpoint *b) { return rank(a) < rank(b); });
 }
 
-void formGroup(Planning &planning, const Service &service, const ModelProfile &model,
-               const std::string &fabric, std::vector<const Endpoint *> &free)
+// Adds a forming group of these members to the plan; the first one is its head.
+FleetGroup &addGroup(Planning &planning, const Service &service, const std::string &model,
+                     const std::string &fabric, std::vector<EndpointId> members)
 {
-    sortForModel(free, model.name);
     FleetGroup group;
     group.epoch = planning.planner.nextEpoch++;
-    group.name = groupName(model.name, group.epoch, free.front()->report.id);
+    group.name = groupName(model, group.epoch, members.front());
     group.service = service.name;
-    group.model = model.name;
+    group.model = model;
     group.fabric = fabric;
+    group.members = std::move(members);
     setStage(group, GroupStage::Forming, planning.now);
+    return planning.planner.groups[group.name] = group;
+}
+
+void formGroup(Planning &planning, const Service &service, const ModelProfile &model,
+               const std::string &fabric, std::vector<const Endpoint *> &free)
+{
+    sortForModel(free, model.name);
+    std::vector<EndpointId> members;
     for (std::uint32_t i = 0; i < model.vmsPerGroup; ++i)
-        group.members.push_back(free[i]->report.id);
+        members.push_back(free[i]->report.id);
     free.erase(free.begin(), free.begin() + model.vmsPerGroup);
-    FleetGroup &added = planning.planner.groups[group.name] = group;
-    joinMembers(planning, added, *service.engine);
+    FleetGroup &group = addGroup(planning, service, model.name, fabric, std::move(members));
+    joinMembers(planning, group, *service.engine);
 }
 
 // Joins spare VMs to groups of their own, so that they hold the model that they have staged. They
@@ -138,16 +147,9 @@
         const bool isWarm = !spare->loadedModel.empty() || staged.empty();
         if (isWarm || !findModel(*service.engine, staged.front()))
             continue;
-        FleetGroup group;
-        group.epoch = planning.planner.nextEpoch++;
-        group.name = groupName(staged.front(), group.epoch, spare->report.id);
-        group.service = service.name;
-        group.model = staged.front();
-        group.fabric = fabric;
+        FleetGroup &group = addGroup(planning, service, staged.front(), fabric, {spare->report.id});
         group.isWarmUp = true;
-        group.members = {spare->report.id};
-        setStage(group, GroupStage::Forming, planning.now);
-        joinMembers(planning, planning.planner.groups[group.name] = group, *service.engine);
+        joinMembers(planning, group, *service.engine);
     }
 }
 
@@ -243,7 +245,7 @@
            || planning.now < planner.lastArrival + planner.options.settleTime;
 }
 
-// An open group of a model that has more groups than it needs.
+// Open groups of one fabric whose model has more groups than it needs.
 struct SpareGroups
 {
     std::string fabric;
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -64,7 +64,6 @@
 
 } // namespace
 
-// A member that is lost for good or about to leave.
 std::optional<MissingMember> missingMember(const Planning &planning, const FleetGroup &group)
 {
     const bool stalled = isStalled(planning, group);
@@ -84,7 +83,6 @@
     return std::nullopt;
 }
 
-// Keeps a VM out of new groups until it reports again.
 void suspect(GroupPlanner &planner, const EndpointId &id, TimePoint now)
 {
     planner.suspects[id] = now;
@@ -106,7 +104,6 @@
                isPlanned ? CloseMode::FinishRequests : CloseMode::CutRequests, planning.now);
 }
 
-// Frees the members once the head cannot serve any more. Returns true when the group is over.
 bool finishClosing(Planning &planning, FleetGroup &group)
 {
     const Endpoint *known = findEndpoint(planning.table, group.members.front());
--- a/src/libfleet/grouporders.cpp
+++ b/src/libfleet/grouporders.cpp
@@ -12,7 +12,6 @@
 
 } // namespace
 
-// Sends an order unless the endpoint has one outstanding.
 bool order(Planning &planning, const Endpoint &endpoint, const FleetGroup &group, OrderKind kind,
            std::string why, bool isLoad)
 {
@@ -41,7 +40,6 @@
     return true;
 }
 
-// Repeats an order to the head until its report shows the effect.
 void orderHead(Planning &planning, FleetGroup &group, const Endpoint &head, OrderKind kind,
                std::string why)
 {
--- a/src/libfleet/weightstaging.cpp
+++ b/src/libfleet/weightstaging.cpp
@@ -122,7 +122,6 @@
 
 } // namespace
 
-// True when the weight store may start one more load.
 bool mayStartLoad(Planning &planning, const EngineProfile &engine)
 {
     GroupPlanner &planner = planning.planner;
