--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -29,8 +29,7 @@
 void serialize(Archive &archive, LinkHello &h)
 {
     archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.process, h.seat,
-            h.isReady, h.requests, h.progress, h.stalled, h.demand, h.leaderTerm,
-            h.leaderAddress);
+            h.isReady, h.requests, h.progress, h.stalled, h.demand, h.leaderTerm, h.leaderAddress);
 }
 
 template <class Archive>
