libfleet: rates of requests are kept for configured models only

The rates of requests and refusals that demand is told from were noted under any name that a caller sent, so made-up names grew the tables without bound. Found by reading the diff; the new test failed before.

--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -139,6 +139,13 @@
     rate.last = now;
 }
 
+// Callers may send any name; only those of the configuration are kept.
+bool hasKnownModel(const PlacementRequest &request)
+{
+    const Service *service = findService(*request.config, request.service);
+    return service && service->engine && findModel(*service->engine, request.model);
+}
+
 double rateAt(const std::map<std::string, ArrivalRate> &rates, const std::string &model,
               Duration window, TimePoint now)
 {
@@ -243,7 +250,7 @@
     const auto all = candidates(state, *request.config, request.service, request.model, now);
     placement.candidates = all.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
-    if (!request.model.empty())
+    if (hasKnownModel(request))
         noteArrival(state.arrivals[request.model], state.options.rateWindow, now);
     const std::vector<OpenEndpoint> open = openEndpoints(state, request, all, now);
     if (open.empty())
@@ -320,10 +327,11 @@
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now)
 {
     Placement placement = choosePlacement(state, request, now);
-    if (!request.model.empty() && placement.verdict != PlacementVerdict::Send)
+    if (hasKnownModel(request) && placement.verdict != PlacementVerdict::Send)
         noteArrival(state.refusals[request.model], state.options.rateWindow, now);
     return placement;
 }
+
 LoadKey loadKey(const EndpointId &endpoint)
 {
     return XXH32(endpoint.data(), endpoint.size(), 0);
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -434,6 +434,25 @@
     BOOST_CHECK_LT(modelDemand(state, "m", 0, Start + seconds(20)), 0.1);
 }
 
+// Load: callers send names of models that nobody configured, a new one each time.
+BOOST_AUTO_TEST_CASE(names_of_unknown_models_are_not_kept)
+{
+    ServiceConfiguration config = configuration();
+    EngineProfile engine;
+    engine.models = {{"known", 1, 1.0, 1.0, seconds(16), seconds(1)}};
+    config.services.front().engine = engine;
+    PlacementState state;
+    PlacementRequest request = bookingRequest(config);
+    request.model = "made-up";
+    BOOST_CHECK(placeRequest(state, request, Start).verdict != PlacementVerdict::Send);
+    BOOST_CHECK(state.arrivals.empty());
+    BOOST_CHECK(state.refusals.empty());
+    request.model = "known";
+    placeRequest(state, request, Start);
+    BOOST_CHECK_EQUAL(state.arrivals.size(), 1);
+    BOOST_CHECK_EQUAL(state.refusals.size(), 1);
+}
+
 BOOST_AUTO_TEST_CASE(loads_are_given_back)
 {
     PlacementState state = twoEndpoints();
