libfleet: a head that was never seen in its group has left only by order

The mend of compared sequences of reports: any later report of the head that did not name the group ended it. A control VM whose link comes back passes on its table, with reports newer than those the leader knew and still older than the group; the new test plays that and failed with the comparison. Now a head that the leader never saw in the group ends it by obeying a leave order (or by refusing it as not fitting), and the sequence goes.

--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -105,8 +105,7 @@
         group.stageSince = planning.now;
         group.unansweredOpens = 1;
         group.isAdopted = true;
-        if (const Endpoint *head = findEndpoint(planning.table, group.members.front()))
-            group.headSequence = head->report.sequence;
+        group.isHeadKnown = reported.ranks.contains(0);
         group.closeMode = CloseMode::CutRequests;
         const Service *service = findService(planning.config, group.service);
         const ModelProfile *model =
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -32,13 +32,12 @@
 }
 
 // The head's life in the group has provably ended. A new leader may know only a report of the head
-// that is older than the group, although it hears signs of the head.
+// that is older than the group; then the head must obey a leave order first.
 bool hasEnded(const Planning &planning, const FleetGroup &group, const Endpoint &head)
 {
-    if (head.isSucceeded)
+    if (head.isSucceeded || group.left.contains(head.report.id))
         return true;
-    const bool isOutdated = group.isAdopted && head.report.sequence <= group.headSequence;
-    return planning.heard(head.report.id) && !isMember(head, group) && !isOutdated;
+    return group.isHeadKnown && planning.heard(head.report.id) && !isMember(head, group);
 }
 
 // Orders the members to leave a head that does not answer.
@@ -126,6 +125,7 @@
         orderHead(planning, group, *head, OrderKind::Leave, "its report is older than the group");
         return false;
     }
+    group.isHeadKnown = true;
     if (head->report.membership->phase == MembershipPhase::Open)
         group.isOpening = false;
     switch (head->report.membership->phase) {
--- a/src/libfleet/grouporders.cpp
+++ b/src/libfleet/grouporders.cpp
@@ -85,8 +85,9 @@
             planned->second.isOpening = true;
     }
     const OrderKind kind = found->second.kind;
-    if (outcome == OrderOutcome::Accepted && kind == OrderKind::Leave
-        && planned != planner.groups.end())
+    // An engine that the order does not fit is in another group or in none.
+    const bool hasLeft = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::NotFitting;
+    if (hasLeft && kind == OrderKind::Leave && planned != planner.groups.end())
         planned->second.left.insert(endpoint);
     if (outcome == OrderOutcome::Accepted && kind == OrderKind::Join
         && planned != planner.groups.end())
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -59,11 +59,11 @@
     std::string closeReason;
     TimePoint lastHeadOrder{}; // last order to the head after it joined
     OrderKind lastHeadKind = OrderKind::Join;
-    bool isWarmUp = false;          // of one spare VM, which loads the model and never serves
-    bool isAdopted = false;         // formed by an earlier leader
-    std::uint64_t headSequence = 0; // of the head's last report when the group was adopted
-    std::set<EndpointId> fenced;    // members of an adopted group that obeyed this leader
-    bool isOpening = false;         // an open order was obeyed and its effect is not reported yet
+    bool isWarmUp = false;       // of one spare VM, which loads the model and never serves
+    bool isAdopted = false;      // formed by an earlier leader
+    bool isHeadKnown = true;     // the head reported that it is in the group
+    std::set<EndpointId> fenced; // members of an adopted group that obeyed this leader
+    bool isOpening = false;      // an open order was obeyed and its effect is not reported yet
     std::uint32_t unansweredOpens = 0; // open orders that may still be carried out
     std::set<EndpointId> left;         // members that have taken a leave order
 };
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -436,6 +436,34 @@
     checkPromises(fleet);
 }
 
+// Load: as above, and a control VM whose link comes back passes on its table, with a report of the
+// head that is newer than the one known, yet older than the group.
+BOOST_AUTO_TEST_CASE(a_report_that_is_passed_on_late_does_not_end_a_group)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    const EndpointId head = anyMember(fleet, true);
+    changeLeader(fleet);
+    Endpoint &known = fleet.table.endpoints.at(head);
+    known.report.membership.reset();
+    known.report.sequence = 1;
+    known.loadedModel.clear();
+    setCut(fleet, head, true);
+    for (int step = 0; step < 100; ++step) {
+        EndpointReport late = known.report;
+        late.sequence = 2;
+        takeReport(fleet.table, late, {}, fleet.now);
+        // Right behind the adoption of the group, when the leader has gathered its reports.
+        const Duration gathered = milliseconds(1800);
+        if (step * milliseconds(50) < gathered)
+            known.report.sequence = 1;
+        runFleet(fleet, milliseconds(50));
+    }
+    checkPromises(fleet);
+}
+
 // Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
