libfleet: groups of an earlier leader are over only once their heads have left them

The earlier leader opened it; the new one knew only that its VMs joined, adopted it as forming, closed it when one fell silent, and took the old report of a joining head for the end of the group. Where it knew only some of the members it forgot the group as never opened. Either way members joined others while the head was open. Now a joining head is treated like a ready one: when an open order may be under way it leaves first. Groups of which only joining members are known are closed like others. The special case for them goes.

--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -14,7 +14,6 @@
     FleetGroup group;
     std::map<std::uint32_t, EndpointId> ranks;
     bool isHeadHeard = false;
-    bool wasReady = false; // a member got past joining, so the group may have been opened
     bool isHeard = false;
     MembershipPhase headPhase = MembershipPhase::Joining;
 };
@@ -41,7 +40,6 @@
         if (!planning.heard(id))
             continue;
         reported.isHeard = true;
-        reported.wasReady = reported.wasReady || membership->phase != MembershipPhase::Joining;
         if (membership->rank == 0) {
             reported.isHeadHeard = true;
             reported.headPhase = membership->phase;
@@ -114,8 +112,6 @@
                 reported.isHeadHeard && model && reported.ranks.size() == model->vmsPerGroup;
         if (!reported.isHeard || (!complete && isGathering))
             continue; // the others may report within a heartbeat
-        if (!complete && !reported.wasReady)
-            continue; // it was never opened
         const bool isForming = reported.headPhase == MembershipPhase::Ready
                                || reported.headPhase == MembershipPhase::Joining;
         if (complete && reported.headPhase == MembershipPhase::Open)
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -129,13 +129,14 @@
     if (head->report.membership->phase == MembershipPhase::Open)
         group.isOpening = false;
     switch (head->report.membership->phase) {
-    case MembershipPhase::Joining:
     case MembershipPhase::Broken:
         return true;
+    case MembershipPhase::Joining:
     case MembershipPhase::Ready:
         if (group.unansweredOpens == 0 && !group.isOpening)
             return true;
-        // An open order that takes effect late must not find the head in the group any more.
+        // An open order, also one of an earlier leader, that takes effect late or did so since the
+        // report must not find the head in the group any more.
         orderHead(planning, group, *head, OrderKind::Leave, "an open order may take effect late");
         return false;
     case MembershipPhase::Open:
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -76,8 +76,8 @@
 // refused before the group opens. Returns true once all have obeyed.
 bool fenceMembers(Planning &planning, const FleetGroup &group);
 
-// Takes over the groups of an earlier leader. Groups that cannot go on are closed; those that were
-// never opened are forgotten, so that their members can be joined to others.
+// Takes over the groups of an earlier leader. Groups that cannot go on are closed, also those of
+// which only old reports are known, since the earlier leader may have opened them.
 void adoptGroups(Planning &planning);
 
 // Forgets ended groups that nobody reports any more.
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -128,6 +128,19 @@
     return waited;
 }
 
+// The leader's reports of the group's members become those of a time when they still joined, and
+// their next ones come 10 s later: they report to the other part of the core.
+void outdateReports(EngineFleet &fleet, const std::vector<EndpointId> &members)
+{
+    for (const EndpointId &id : members) {
+        Endpoint &known = fleet.table.endpoints.at(id);
+        known.report.membership->phase = MembershipPhase::Joining;
+        known.report.sequence = 1;
+        known.lastHeard = known.lastReport = fleet.now;
+        fleet.engines.at(id).nextReport = fleet.now + seconds(10);
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(groups_form_from_nothing_in_the_shares_of_the_models)
@@ -464,6 +477,41 @@
     checkPromises(fleet);
 }
 
+// Load: the core is parted while a group joins; the earlier leader opens it, and the new one knows
+// only that it joined (hunt of Gursha, day hunt-7dac-7).
+BOOST_AUTO_TEST_CASE(a_group_that_an_earlier_leader_may_have_opened_is_left_before_its_vms_are_used)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    const EndpointId head = anyMember(fleet, true);
+    const std::string group = fleet.engines.at(head).report.membership->group;
+    std::vector<EndpointId> members = fleet.planner.groups.at(group).members;
+    changeLeader(fleet);
+    outdateReports(fleet, members);
+    runFleet(fleet, seconds(6));
+    checkPromises(fleet);
+}
+
+// The same when the leader knows only some of the members.
+BOOST_AUTO_TEST_CASE(a_group_of_which_only_some_are_known_to_join_is_left_before_its_vms_are_used)
+{
+    EngineFleet fleet = makeEngineFleet(2, 1);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    const EndpointId head = anyMember(fleet, true);
+    const std::string group = fleet.engines.at(head).report.membership->group;
+    std::vector<EndpointId> members = fleet.planner.groups.at(group).members;
+    changeLeader(fleet);
+    outdateReports(fleet, members);
+    fleet.table.endpoints.erase(members.front());
+    fleet.engines.at(head).nextReport = fleet.now + seconds(10);
+    runFleet(fleet, seconds(6));
+    checkPromises(fleet);
+}
+
 // Random losses, cuts, restarts, drains, changes of leader and late orders, in series and
 // overlapping.
 BOOST_AUTO_TEST_CASE(promises_hold_under_random_faults)
