--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -1,7 +1,6 @@
 #include "libfleet/groupplanning.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <map>
 #include <optional>
@@ -139,15 +138,18 @@
 
 // Joins spare VMs to groups of their own, so that they hold the model that they have staged. They
 // join another group of the model at once then, and their hosts have room for a standby model.
-void warmSpares(Planning &planning, const Service &service, const std::string &fabric,
+void warmSpares(Planning &planning, const Service &service,
                 const std::vector<const Endpoint *> &spares)
 {
+    if (!planning.planner.options.warmsSpares)
+        return;
     for (const Endpoint *spare : spares) {
         const auto &staged = spare->report.stagedModels;
         const bool isWarm = !spare->loadedModel.empty() || staged.empty();
         if (isWarm || !findModel(*service.engine, staged.front()))
             continue;
-        FleetGroup &group = addGroup(planning, service, staged.front(), fabric, {spare->report.id});
+        FleetGroup &group = addGroup(planning, service, staged.front(), spare->report.fabric,
+                                     {spare->report.id});
         group.isWarmUp = true;
         joinMembers(planning, group, *service.engine);
     }
@@ -248,7 +250,6 @@
 // Open groups of one fabric whose model has more groups than it needs.
 struct SpareGroups
 {
-    std::string fabric;
     std::vector<FleetGroup *> groups; // that free enough VMs together
     std::size_t leftover = 0;         // VMs that the new group does not need
 };
@@ -281,7 +282,6 @@
     for (auto &[fabric, spare] : byFabric) {
         if (vms[fabric] < needy.vmsPerGroup)
             continue;
-        spare.fabric = fabric;
         spare.leftover = vms[fabric] - needy.vmsPerGroup;
         const auto rank = [](const SpareGroups &places) {
             return std::pair(places.groups.size(), places.leftover);
@@ -360,15 +360,12 @@
     while (const auto place = bestPlace(planning, service, freeByFabric))
         formGroup(planning, service, *place->model, place->fabric, freeByFabric[place->fabric]);
     reassignGroups(planning, service, freeByFabric);
-    for (const auto &[fabric, free] : freeByFabric) {
-        if (planning.planner.options.warmsSpares)
-            warmSpares(planning, service, fabric, free);
-    }
-    for (const auto &[fabric, free] : freeByFabric)
-        stageSpares(planning, service, fabric, free);
     std::vector<const Endpoint *> spares;
     for (const auto &[fabric, free] : freeByFabric)
         spares.insert(spares.end(), free.begin(), free.end());
+    warmSpares(planning, service, spares);
+    for (const auto &[fabric, free] : freeByFabric)
+        stageSpares(planning, service, fabric, free);
     stageStandbyModels(planning, service, spares);
 }
 
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -250,8 +250,6 @@
     const auto all = candidates(state, *request.config, request.service, request.model, now);
     placement.candidates = all.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
-    if (hasKnownModel(request))
-        noteArrival(state.arrivals[request.model], state.options.rateWindow, now);
     const std::vector<OpenEndpoint> open = openEndpoints(state, request, all, now);
     if (open.empty())
         return placement;
@@ -326,8 +324,11 @@
 
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now)
 {
+    const bool isCounted = hasKnownModel(request);
+    if (isCounted)
+        noteArrival(state.arrivals[request.model], state.options.rateWindow, now);
     Placement placement = choosePlacement(state, request, now);
-    if (hasKnownModel(request) && placement.verdict != PlacementVerdict::Send)
+    if (isCounted && placement.verdict != PlacementVerdict::Send)
         noteArrival(state.refusals[request.model], state.options.rateWindow, now);
     return placement;
 }
--- a/src/libfleet/weightstaging.cpp
+++ b/src/libfleet/weightstaging.cpp
@@ -1,6 +1,7 @@
 #include "libfleet/groupplanning.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace Trefoil {
@@ -66,10 +67,9 @@
     for (const ModelProfile &model : service.engine->models) {
         const std::size_t staged = stagedSpares(planning, spares, model.name);
         const bool fits = spares.size() >= model.vmsPerGroup && staged < model.vmsPerGroup;
-        const Duration time =
-                model.loadTime
-                * static_cast<Duration::rep>(model.vmsPerGroup
-                                             - std::min<std::size_t>(staged, model.vmsPerGroup));
+        const Duration time = model.loadTime
+                              * (static_cast<Duration::rep>(model.vmsPerGroup)
+                                 - static_cast<Duration::rep>(staged));
         if (fits && time < soonest) {
             whole = &model;
             soonest = time;
@@ -154,23 +154,25 @@
 {
     if (!planning.planner.options.stagesStandbyModels)
         return;
-    const auto stageOn = [&](const Endpoint &vm) {
-        const ModelProfile *model = standbyModel(planning, *service.engine, vm);
-        if (model && mayStageStandby(planning, *service.engine))
-            stage(planning, vm, *model, "standby model");
-    };
-    for (const Endpoint *spare : spares) {
-        if (!spare->loadedModel.empty())
-            stageOn(*spare);
-    }
+    std::vector<const Endpoint *> vms;
+    std::copy_if(spares.begin(), spares.end(), std::back_inserter(vms),
+                 [](const Endpoint *spare) { return !spare->loadedModel.empty(); });
     for (const auto &[name, group] : planning.planner.groups) {
         if (group.service != service.name || group.stage != GroupStage::Open)
             continue;
         for (const EndpointId &id : group.members) {
             if (const Endpoint *member = planning.usable(id))
-                stageOn(*member);
+                vms.push_back(member);
         }
     }
+    for (const Endpoint *vm : vms) {
+        const ModelProfile *model = standbyModel(planning, *service.engine, *vm);
+        if (!model)
+            continue;
+        if (!mayStageStandby(planning, *service.engine))
+            return;
+        stage(planning, *vm, *model, "standby model");
+    }
 }
 
 } // namespace Trefoil
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -27,6 +27,16 @@
     return {};
 }
 
+// A fleet whose first groups have formed and serve.
+EngineFleet makeServingFleet(std::size_t fabrics, std::uint64_t seed, std::size_t vmsPerFabric = 8)
+{
+    EngineFleet fleet = makeEngineFleet(fabrics, seed, vmsPerFabric);
+    fleet.planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    fleet.planner.hasTraffic = true;
+    return fleet;
+}
+
 // Entries notice that the groups of lost VMs stand still.
 void reportStalls(EngineFleet &fleet)
 {
@@ -103,10 +113,7 @@
 // Time from the loss of a VM to as many open groups as before.
 Duration repairTime(bool changesLeader)
 {
-    EngineFleet fleet = makeEngineFleet(6, 1, 9);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(6, 1, 9);
     if (changesLeader)
         changeLeader(fleet);
     runFleet(fleet, seconds(5));
@@ -362,10 +369,7 @@
 // used.
 BOOST_AUTO_TEST_CASE(groups_of_a_model_that_is_hardly_used_give_way)
 {
-    EngineFleet fleet = makeEngineFleet(3, 1);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(3, 1);
     const std::size_t before = openGroups(fleet, "large");
     fleet.planner.demand["large"] = 100;
     fleet.planner.demand["small"] = 5;
@@ -379,10 +383,7 @@
 // Load: losses leave fabrics in which the large model, which is the neediest, fits nowhere.
 BOOST_AUTO_TEST_CASE(vms_serve_what_fits_when_the_neediest_model_fits_nowhere)
 {
-    EngineFleet fleet = makeEngineFleet(4, 1, 3);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(4, 1, 3);
     fleet.planner.demand["large"] = 100;
     fleet.planner.demand["small"] = 60;
     runFleet(fleet, seconds(30));
@@ -431,10 +432,7 @@
 // group, hears signs of the head, and then a report of another member.
 BOOST_AUTO_TEST_CASE(an_outdated_report_of_a_head_does_not_end_its_group)
 {
-    EngineFleet fleet = makeEngineFleet(2, 1);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(2, 1);
     const EndpointId head = anyMember(fleet, true);
     changeLeader(fleet);
     Endpoint &known = fleet.table.endpoints.at(head);
@@ -453,10 +451,7 @@
 // head that is newer than the one known, yet older than the group.
 BOOST_AUTO_TEST_CASE(a_report_that_is_passed_on_late_does_not_end_a_group)
 {
-    EngineFleet fleet = makeEngineFleet(2, 1);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(2, 1);
     const EndpointId head = anyMember(fleet, true);
     changeLeader(fleet);
     Endpoint &known = fleet.table.endpoints.at(head);
@@ -481,10 +476,7 @@
 // only that it joined (hunt of Gursha, day hunt-7dac-7).
 BOOST_AUTO_TEST_CASE(a_group_that_an_earlier_leader_may_have_opened_is_left_before_its_vms_are_used)
 {
-    EngineFleet fleet = makeEngineFleet(2, 1);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(2, 1);
     const EndpointId head = anyMember(fleet, true);
     const std::string group = fleet.engines.at(head).report.membership->group;
     std::vector<EndpointId> members = fleet.planner.groups.at(group).members;
@@ -497,10 +489,7 @@
 // The same when the leader knows only some of the members.
 BOOST_AUTO_TEST_CASE(a_group_of_which_only_some_are_known_to_join_is_left_before_its_vms_are_used)
 {
-    EngineFleet fleet = makeEngineFleet(2, 1);
-    fleet.planner.hasTraffic = false;
-    runFleet(fleet, seconds(10));
-    fleet.planner.hasTraffic = true;
+    EngineFleet fleet = makeServingFleet(2, 1);
     const EndpointId head = anyMember(fleet, true);
     const std::string group = fleet.engines.at(head).report.membership->group;
     std::vector<EndpointId> members = fleet.planner.groups.at(group).members;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -81,16 +81,15 @@
 {
     asio::io_context context{1};
     EntryState state{context, settings()};
-    ScriptedEndpoint first{"e1", {}, false, {},      0, {}, std::numeric_limits<std::size_t>::max(),
-                           {},   {}, false, nullptr, {}};
-    ScriptedEndpoint second{
-            "e2", {}, false, {},      0, {}, std::numeric_limits<std::size_t>::max(),
-            {},   {}, false, nullptr, {}};
+    ScriptedEndpoint first;
+    ScriptedEndpoint second;
     std::unique_ptr<ChannelListener> entry;
     std::string answer; // what the caller got until the connection ended or it had enough
 
     World()
     {
+        first.id = "e1";
+        second.id = "e2";
         listen(first);
         listen(second);
         state.reportStall = [] {};
