libgateway, platform: logs name the shared parts of prompts and the ends of engines

The logs could not tell which part of a prompt the requests at an ended engine had in common, whether their answers had begun, or whether an engine ended or only a connection. E502 and E503 now name the parts, E503 says whether the answer began, and E505 is written when an engine that broke off refuses connections. No decision changes.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/endpoints.h"
 #include "libfleet/groupplanner.h"
+#include "libfleet/promptparts.h"
 #include "libfleet/serviceconfiguration.h"
 
 #include <optional>
@@ -26,8 +27,9 @@
     std::string answerDigest;   // is present in every successful answer of an endpoint
     std::string notExecuted;    // the endpoint did not run the request
     std::string model;
-    std::string tokenCount; // "prompt tokens,largest number of answer tokens"
-    std::string priority;   // 0 is the most urgent
+    std::string tokenCount;  // "prompt tokens,largest number of answer tokens"
+    std::string promptParts; // decoded by Dialect::decodePromptParts
+    std::string priority;    // 0 is the most urgent
     std::string lastEventId;
 };
 
@@ -75,6 +77,9 @@
     // Returns the start of the incarnation that departs, 0 when the body does not name it.
     std::uint64_t (*decodeDeparture)(std::string_view body) = nullptr;
 
+    // Returns the parts of a prompt in order. Leaves out entries that cannot be read.
+    std::vector<PromptPart> (*decodePromptParts)(std::string_view text) = nullptr;
+
     std::string (*encodeOrder)(const GroupOrder &order) = nullptr;
     std::string (*encodeEntryList)(std::span<const std::string> addresses,
                                    Duration lifetime) = nullptr;
--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -9,6 +9,7 @@
 #include "libfleet/enginemodel.h"
 #include "libfleet/groupplanner.h"
 #include "libfleet/placement.h"
+#include "libfleet/promptparts.h"
 #include "libfleet/retrybudget.h"
 #include "libfleet/seatplan.h"
 #include "libfleet/serviceconfiguration.h"
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/relaysession.h"
 
+#include "libgateway/engineends.h"
 #include "libgateway/eventstream.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
@@ -71,6 +72,10 @@
     std::string service;
     std::string model;
     RequestSize size;
+
+    // Parts of the prompt that other requests may share.
+    std::vector<PromptPartId> sharedParts;
+
     TimePoint arrivedAt{};
 
     // The earlier of the deadline of the caller and the timeout of the route.
@@ -120,6 +125,13 @@
     EventFilter eventFilter;
     bool isResponseHeadSent = false;
     std::optional<TimePoint> firstByteAt;
+
+    // Whether the current attempt received an event or a whole answer.
+    bool hasBegun = false;
+
+    // Whether the connection of the last attempt ended before its answer did.
+    bool isConnectionLost = false;
+
     TimePoint lastEventAt{};
 
     // Time at which the latest event was forwarded to the caller, and the longest time between two
@@ -400,6 +412,8 @@
                 request.size.outputTokens =
                         parseNumber(std::string_view(*tokens).substr(comma + 1)).value_or(0);
         }
+        if (const std::string *parts = findField(request.head, headerNames.promptParts))
+            request.sharedParts = sharedParts(state_.dialect.decodePromptParts(*parts));
     }
 
     asio::awaitable<bool> serveRequest(RelayRequest &request)
@@ -462,6 +476,8 @@
         progress.lastEndpoint = placement.endpoint;
         progress.lastOutcome = co_await runAttempt(request, progress, placement);
         recordAttemptOutcome(request, progress, placement);
+        if (progress.isConnectionLost)
+            co_await checkEngine(request, progress, placement);
         co_return mayRetry(request, progress);
     }
 
@@ -536,9 +552,27 @@
                   {"endpoint", placement.endpoint},
                   {"end", AttemptOutcomeNames[static_cast<std::size_t>(progress.lastOutcome)]},
                   {"reason", progress.lastReason},
+                  {"begun", progress.hasBegun ? "yes" : "no"},
+                  {"parts", toText(request.sharedParts)},
                   {"elapsed_ms", millisecondsText(now - request.arrivedAt)}});
     }
 
+    // Finds out whether the engine ended or only the connection to it.
+    asio::awaitable<void> checkEngine(const RelayRequest &request, const RelayProgress &progress,
+                                      const Placement &placement)
+    {
+        const bool hasEnded = co_await hasEngineEnded(state_, placement);
+        if (!hasEnded)
+            co_return;
+        state_.metrics.incrementCounter("trefoil_requests_at_engine_end_total", "");
+        logEvent(Event::EngineEnded,
+                 {{"endpoint", placement.endpoint},
+                  {"id", request.id},
+                  {"workspace", request.workspace ? request.workspace->name : std::string()},
+                  {"begun", progress.hasBegun ? "yes" : "no"},
+                  {"parts", toText(request.sharedParts)}});
+    }
+
     // Reports to the leader that the endpoint is stalled.
     void reportStall(const EndpointId &endpoint, TimePoint now)
     {
@@ -622,6 +656,7 @@
                   {"total_ms", millisecondsText(now - request.arrivedAt)},
                   {"predicted_first_ms", millisecondsText(progress.estimate.firstEvent)},
                   {"candidates", std::to_string(progress.candidateCount)},
+                  {"parts", toText(request.sharedParts)},
                   {"configuration", std::to_string(request.config ? request.config->version : 0)}});
     }
 
@@ -719,6 +754,8 @@
         state_.activeRequestsByModel[request.model] += 1;
         connection->channel->setChangeSignal(&signal_);
         ++progress.sendCount;
+        progress.hasBegun = false;
+        progress.isConnectionLost = false;
         const bool mayHaveExecutedBefore = progress.mayHaveExecuted;
         progress.mayHaveExecuted = true;
         const std::string text = makeRequestText(request, progress, placement);
@@ -728,8 +765,10 @@
         AttemptOutcome outcome = AttemptOutcome::Unknown;
         if (isWritten)
             outcome = co_await relayResponse(request, progress, placement, *connection, load);
-        else
+        else {
             progress.lastReason = "the request could not be written";
+            progress.isConnectionLost = true;
+        }
         if (outcome == AttemptOutcome::NotExecuted)
             progress.mayHaveExecuted = mayHaveExecutedBefore;
         connection->channel->setChangeSignal(nullptr);
@@ -753,7 +792,6 @@
         const TimePoint sentAt = RuntimeClock::now();
         progress.lastEventAt = sentAt;
         progress.eventFilter.incompleteEvent.clear();
-        bool hasReceivedEvent = false;
         std::optional<TimePoint> overdueSince;
         std::uint32_t unrelatedResponses = 0;
         HttpParser parser = makeResponseParser(request);
@@ -777,8 +815,8 @@
                                   && !isUnrelatedResponse(request, parser.head());
             if (isParsed && isStream) {
                 const std::string bytes = parser.takeBody();
-                const bool isForwarded = co_await forwardEvents(request, progress, parser, bytes,
-                                                                placement, load, hasReceivedEvent);
+                const bool isForwarded =
+                        co_await forwardEvents(request, progress, parser, bytes, placement, load);
                 if (!isForwarded)
                     co_return AttemptOutcome::CallerDisconnected;
             }
@@ -792,6 +830,7 @@
             }
             if (!isParsed || endpoint.isEnded()) {
                 progress.lastReason = isParsed ? "the connection ended" : "the answer is no HTTP";
+                progress.isConnectionLost = isParsed;
                 co_return AttemptOutcome::Unknown;
             }
             if (channel_->isEnded())
@@ -801,8 +840,7 @@
                 progress.lastReason = "the time is over";
                 co_return AttemptOutcome::TimedOut;
             }
-            const StallDeadlines stall =
-                    computeStallDeadlines(request, progress, placement, hasReceivedEvent);
+            const StallDeadlines stall = computeStallDeadlines(request, progress, placement);
             const TimePoint stallDeadline =
                     std::min(stall.endpointStalledAt, stall.requestStalledAt);
             // If this process was paused, data that arrived meanwhile is read before a stall
@@ -819,8 +857,7 @@
                         || hasUntriedEndpoint(state_.placement,
                                               makePlacementRequest(request, progress, now), now);
                 if (mustMove)
-                    co_return recordStall(progress, hasReceivedEvent,
-                                          now >= stall.endpointStalledAt);
+                    co_return recordStall(progress, now >= stall.endpointStalledAt);
                 overdueSince = now;
             }
             co_await signal_.wait(
@@ -851,7 +888,7 @@
     // Returns the times at which the attempt counts as stalled. They are finite only for a stream
     // that another endpoint may resume.
     StallDeadlines computeStallDeadlines(const RelayRequest &request, const RelayProgress &progress,
-                                         const Placement &placement, bool hasReceivedEvent) const
+                                         const Placement &placement) const
     {
         const bool canMoveStream = request.route->kind == RouteKind::Stream
                                    && isRepeatable(*request.route)
@@ -861,7 +898,7 @@
         const auto predictedFirst = std::chrono::duration_cast<Duration>(
                 placement.estimate.firstEvent * FirstEventFactor);
         const Duration limit =
-                hasReceivedEvent
+                progress.hasBegun
                         ? std::max<Duration>(MinEventGapLimit, 4 * placement.estimate.eventGap)
                         : std::max<Duration>(MinFirstEventLimit, predictedFirst);
         const auto lastProgress = state_.lastProgressAt.find(placement.endpoint);
@@ -874,10 +911,9 @@
     }
 
     // Stores the reason of the stall and returns the outcome of the attempt.
-    static AttemptOutcome recordStall(RelayProgress &progress, bool hasReceivedEvent,
-                                      bool isEndpointStalled)
+    static AttemptOutcome recordStall(RelayProgress &progress, bool isEndpointStalled)
     {
-        progress.lastReason = hasReceivedEvent ? "no event for too long" : "no first event";
+        progress.lastReason = progress.hasBegun ? "no event for too long" : "no first event";
         return isEndpointStalled ? AttemptOutcome::EndpointStalled : AttemptOutcome::RequestStalled;
     }
 
@@ -907,8 +943,7 @@
     // Forwards complete events as they arrive. Returns false when the caller has disconnected.
     asio::awaitable<bool> forwardEvents(RelayRequest &request, RelayProgress &progress,
                                         const HttpParser &parser, std::string_view bytes,
-                                        const Placement &placement, EndpointLoad &load,
-                                        bool &hasReceivedEvent)
+                                        const Placement &placement, EndpointLoad &load)
     {
         std::string events = filterEvents(progress.eventFilter, bytes);
         const bool isComplete = parser.isDone();
@@ -923,14 +958,14 @@
         }
         if (!events.empty()) {
             const TimePoint now = RuntimeClock::now();
-            if (!hasReceivedEvent && !progress.firstByteAt)
+            if (!progress.hasBegun && !progress.firstByteAt)
                 recordFirstEvent(state_.placement.overheads[request.model], placement.estimate,
                                  now - progress.lastEventAt);
-            if (!hasReceivedEvent) {
+            if (!progress.hasBegun) {
                 removeLoad(state_.placement, placement.endpoint, {0, load.pendingPromptTokens});
                 load.pendingPromptTokens = 0;
             }
-            hasReceivedEvent = true;
+            progress.hasBegun = true;
             progress.lastEventAt = now;
             state_.lastProgressAt[placement.endpoint] = now;
             if (!progress.firstByteAt)
@@ -993,6 +1028,7 @@
             progress.failureBody = std::move(body);
             co_return AttemptOutcome::Failed;
         }
+        progress.hasBegun = true;
         progress.firstByteAt = RuntimeClock::now();
         progress.isResponseHeadSent = true;
         const bool isForwarded = co_await forwardResponse(request, head, body);
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -43,6 +43,7 @@
         {Event::RequestEnded, Info, "a request ended"},
         {Event::AttemptFailed, Warning, "an attempt at an endpoint failed"},
         {Event::EndpointEjected, Warning, "an endpoint gets no requests for a while"},
+        {Event::EngineEnded, Warning, "an engine ended with a request in progress"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -39,6 +39,7 @@
     RequestEnded = 502,
     AttemptFailed = 503,
     EndpointEjected = 504,
+    EngineEnded = 505,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -132,6 +132,21 @@
     BOOST_CHECK(dialect().parseCall("POST", "/trefoilrun/instances/i-1").kind == CallKind::Unknown);
 }
 
+// An entry that misreads the parts of prompts blames the wrong ones.
+BOOST_AUTO_TEST_CASE(parts_of_a_prompt_are_lost_or_mixed_up)
+{
+    const Dialect &dialect = *findDialect("platform");
+    const std::vector<PromptPart> expected{{0x5c1e07a2, 800}, {0x91bd3f06, 410}, {0xe4402b7d, 250}};
+    BOOST_CHECK(dialect.decodePromptParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == expected);
+    BOOST_CHECK(dialect.decodePromptParts(" 5c1e07a2:800, 91BD3F06:410 ,e4402b7d:250") == expected);
+    BOOST_CHECK(dialect.decodePromptParts("").empty());
+    BOOST_CHECK(dialect.decodePromptParts(",:1,x:2,12,123456789abcdef01:3").empty());
+    const std::vector<PromptPartId> shared{0x5c1e07a2, 0x91bd3f06};
+    BOOST_CHECK(sharedParts(expected) == shared);
+    BOOST_CHECK(sharedParts({}).empty());
+    BOOST_CHECK_EQUAL(toText(shared), "5c1e07a2,91bd3f06");
+}
+
 BOOST_AUTO_TEST_CASE(order_is_encoded_wrongly)
 {
     GroupOrder order;
