libfleet, libgateway: requests whose prompt parts end engines are refused

Cause: a request that ends the engine that begins to answer it was sent to the next engine by the entry's own retry, then by its caller's, then by the next request with the same part. Nothing read the parts of a prompt, and no entry learned from another one's lost engines. Two ends 0.2 to 0.4 s apart took two groups; after 2 s no group of the model was left.

Change: an engine that ends while a request waits for its answer is evidence against the request's shared parts, a begun answer is evidence for them (libfleet/partquarantine). An end counts only if the engine refuses connections and did not stop as planned. A part without a known answer is quarantined after two separate ends, one that was answered before after three with different requests, unless another part explains the same ends as well; parts that always stood together are refused only together, and an end that a quarantined part explains is no evidence against the others there. Entries pass evidence on through the control VMs with endpoint updates; control VMs keep it for entries that start. Messages of earlier versions still decode. Requests with a quarantined part get a 503 with the time of the next trial, those that wait at an engine are taken back, and a request that was at an ended engine is repeated once for each untested part. One request tries the part 30 s after the last end, then after twice the time; an answer that begins releases it.

Evidence: test_relay, request_that_ended_two_engines_reaches_a_third, fails on the sources before (the third engine gets the request).

--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -8,6 +8,7 @@
 #include "libfleet/endpoints.h"
 #include "libfleet/enginemodel.h"
 #include "libfleet/groupplanner.h"
+#include "libfleet/partquarantine.h"
 #include "libfleet/placement.h"
 #include "libfleet/promptparts.h"
 #include "libfleet/retrybudget.h"
--- /dev/null
+++ b/src/libfleet/partquarantine.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "libcoord/time.h"
+#include "libfleet/promptparts.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+// Decides which parts of prompts end the engines that begin to answer them, and refuses requests
+// with these parts. An engine that ends while a request waits for its answer is evidence against
+// the shared parts of the request; an answer that begins is evidence for them. Entries exchange
+// their evidence. Performs no I/O and reads no clock.
+
+namespace Trefoil {
+
+struct PartQuarantineOptions
+{
+    // Ends of engines that a part needs to be quarantined: without a known answer, and with one.
+    // Parts with a known answer also need this many different requests.
+    std::uint32_t endsWithoutAnswer = 2;
+    std::uint32_t endsAfterAnswer = 3;
+    std::uint32_t requestsAfterAnswer = 2;
+    // Engines that end within this time count once, since a common cause ends several at a time.
+    Duration concurrentEndWindow = std::chrono::milliseconds(50);
+    // A part is judged this long after its last end, so that the other entries can report answers
+    // and suspects.
+    Duration settlingTime = std::chrono::milliseconds(60);
+    Duration endRetention = std::chrono::minutes(2);
+    // Time from the last end until a request tries the quarantined parts again. Each trial that
+    // ends an engine doubles it.
+    Duration firstTrialDelay = std::chrono::seconds(30);
+    Duration maxTrialDelay = std::chrono::minutes(10);
+    // Time after a due trial or a release until a verdict is forgotten.
+    Duration verdictRetention = std::chrono::minutes(10);
+    // A suspect part without a known answer is repeated by each entry once within this time.
+    Duration suspectRepeatInterval = std::chrono::seconds(2);
+    // Interval at which an entry repeats that a part was answered before its suspicion.
+    Duration historyReportInterval = std::chrono::seconds(30);
+    std::size_t maxEnds = 32;
+    std::size_t maxSuspectsPerEnd = 64;
+    std::size_t maxVerdicts = 64;
+    std::size_t maxAnsweredParts = 4096; // in each of two generations
+};
+
+// Sorted ids of parts, without repetitions.
+using PartSet = std::vector<PromptPartId>;
+
+// Identifies the incarnation of an engine.
+using IncarnationKey = std::uint64_t;
+IncarnationKey incarnationKey(std::string_view endpoint, std::uint64_t startedAtMs);
+
+// Returns an id for requests with these parts in this order, equal for the repeats of a request.
+std::uint64_t requestKey(std::span<const PromptPart> parts);
+
+// A request without a begun answer at an engine that ended.
+struct SuspectRequest
+{
+    std::uint64_t request = 0;
+    PartSet parts; // shared ones
+
+    auto operator<=>(const SuspectRequest &) const = default;
+};
+
+struct EngineEnd
+{
+    TimePoint at{};
+    std::set<SuspectRequest> suspects;
+};
+
+// Requests with all parts of a set are refused. Usually the set has one part; it has several when
+// the requests at the ended engines all had the same ones.
+struct PartVerdict
+{
+    TimePoint lastEndAt{};
+    std::optional<TimePoint> releasedAt;
+    TimePoint nextTrialAt{};
+    std::uint32_t ends = 0;
+    std::uint32_t requests = 0;
+    std::uint32_t trials = 0;
+    // Whether an answer with these parts had begun before the verdict.
+    bool hadAnswer = false;
+};
+
+// Returns false once an answer began after the last end.
+bool isInForce(const PartVerdict &verdict);
+
+// Times of the latest answers by part. The oldest half is forgotten when the limit is reached.
+struct AnsweredParts
+{
+    std::unordered_map<PromptPartId, TimePoint> recent;
+    std::unordered_map<PromptPartId, TimePoint> older;
+};
+
+struct PartQuarantine
+{
+    PartQuarantineOptions options;
+    std::map<IncarnationKey, EngineEnd> ends;
+    std::map<PartSet, PartVerdict> verdicts;
+    AnsweredParts answered; // by this process
+    // Latest answers, by any entry, of parts that `ends` contains.
+    std::map<PromptPartId, TimePoint> suspectAnswers;
+    // Times at which this entry last repeated a request with a suspect part that has no known
+    // answer.
+    std::map<PromptPartId, TimePoint> suspectRepeats;
+};
+
+// What entries tell each other through the control VMs.
+struct PartEvidence
+{
+    struct End
+    {
+        IncarnationKey engine = 0;
+        std::uint32_t ageMs = 0;
+        std::vector<SuspectRequest> suspects;
+    };
+    struct Answer
+    {
+        PromptPartId part = 0;
+        std::uint32_t ageMs = 0;
+    };
+    struct Verdict
+    {
+        PartSet parts;
+        std::uint32_t lastEndAgeMs = 0;
+        bool isReleased = false;
+        std::uint32_t releaseAgeMs = 0;
+        std::uint32_t trialInMs = 0;
+        std::uint32_t ends = 0;
+        std::uint32_t requests = 0;
+        std::uint32_t trials = 0;
+        bool hadAnswer = false;
+
+        bool operator==(const Verdict &) const = default;
+    };
+    std::vector<End> ends;
+    std::vector<Answer> answers;
+    std::vector<Verdict> verdicts;
+
+    bool isEmpty() const { return ends.empty() && answers.empty() && verdicts.empty(); }
+};
+
+// Adds evidence to evidence that has not been sent yet.
+void appendEvidence(PartEvidence &evidence, PartEvidence &&added);
+
+// Records that the engine ended before it began to answer the request. Returns the new evidence.
+PartEvidence recordEngineEnd(PartQuarantine &quarantine, IncarnationKey engine,
+                             const SuspectRequest &request, TimePoint now);
+
+// Returns whether a request with these parts may be sent again after its engine ended, and records
+// that it is. Further requests with a part that may have ended the engine wait for the outcome.
+bool tryTakeRepeatAfterEnd(PartQuarantine &quarantine, std::span<const PromptPartId> parts,
+                           TimePoint now);
+
+// Records that an engine began to answer a request with these shared parts. Releases verdicts on
+// them. Returns the evidence that other entries need.
+PartEvidence recordBegunAnswer(PartQuarantine &quarantine, std::span<const PromptPartId> parts,
+                               TimePoint now);
+
+// Merges evidence of another process. Returns the part of it that was new.
+PartEvidence mergeEvidence(PartQuarantine &quarantine, const PartEvidence &evidence, TimePoint now);
+
+// Returns answers that this entry knows of parts of these ends and that the fleet may not know.
+PartEvidence reportAnswerHistory(PartQuarantine &quarantine,
+                                 std::span<const PartEvidence::End> ends, TimePoint now);
+
+// Quarantines parts that explain the ends of engines. Returns the evidence of the new verdicts.
+PartEvidence judgeParts(PartQuarantine &quarantine, TimePoint now);
+
+// Returns everything a process that has just started needs to know.
+PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now);
+
+// Forgets what is older than its retention.
+void removeExpiredEvidence(PartQuarantine &quarantine, TimePoint now);
+
+struct QuarantinedSet
+{
+    PartSet parts;
+    PartVerdict verdict;
+};
+
+// Returns a verdict in force on a set whose parts the request all has, or nothing.
+std::optional<QuarantinedSet> findVerdict(const PartQuarantine &quarantine,
+                                          std::span<const PromptPartId> parts);
+
+std::size_t activeVerdictCount(const PartQuarantine &quarantine);
+
+// Begins a trial of the set if one is due: its next request is not refused. Returns the evidence
+// for the other entries, which then do not try the set as well, or nothing if no trial is due.
+std::optional<PartEvidence> tryBeginTrial(PartQuarantine &quarantine, const PartSet &parts,
+                                          TimePoint now);
+
+} // namespace Trefoil
--- a/src/libgateway/controllinks.cpp
+++ b/src/libgateway/controllinks.cpp
@@ -39,6 +39,11 @@
         addPeer(address, true);
 }
 
+void ControlLinks::setConnectHandler(std::function<void(Link &)> onConnected)
+{
+    onConnected_ = std::move(onConnected);
+}
+
 void ControlLinks::addPeer(const std::string &address, bool isSeed)
 {
     if (address.empty() || address == ownAddress_)
@@ -104,6 +109,8 @@
     logEvent(Event::LinkConnected, {{"peer", address}});
     peer->link->start();
     peer->link->send(makeHello_());
+    if (onConnected_)
+        onConnected_(*peer->link);
 }
 
 void ControlLinks::broadcastHello()
--- a/src/libgateway/controllinks.h
+++ b/src/libgateway/controllinks.h
@@ -48,6 +48,9 @@
     ControlLinks(boost::asio::io_context &context, std::string ownAddress,
                  std::size_t inputCapacity, HelloFactory makeHello, MessageHandler onMessage);
 
+    // Sets a function that is called with each new link.
+    void setConnectHandler(std::function<void(Link &)> onConnected);
+
     // Replaces the seeds, which are never dropped.
     void setSeeds(std::span<const std::string> addresses);
 
@@ -73,6 +76,7 @@
     std::size_t inputCapacity_;
     HelloFactory makeHello_;
     MessageHandler onMessage_;
+    std::function<void(Link &)> onConnected_;
     std::map<std::string, Peer> peers_; // By address.
 };
 
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -169,6 +169,7 @@
         controlLinks_.broadcastHello();
         broadcastTopology();
         removeExpiredEndpoints(endpointTable_, EndpointRetention, now);
+        removeExpiredEvidence(quarantine_, now);
         flushStructuredLog();
     }
     if (now >= nextHeardUpdateAt_) {
@@ -412,6 +413,11 @@
               {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
     changedEndpoints_.insert(endpoint);
     nextPlanAt_ = TimePoint{};
+    scheduleEndpointUpdate();
+}
+
+void ControlProcess::scheduleEndpointUpdate()
+{
     if (isUpdateScheduled_)
         return;
     isUpdateScheduled_ = true;
@@ -432,7 +438,7 @@
 void ControlProcess::broadcastEndpointUpdate()
 {
     isUpdateScheduled_ = false;
-    if (changedEndpoints_.empty() && heardEndpoints_.empty())
+    if (changedEndpoints_.empty() && heardEndpoints_.empty() && pendingEvidence_.isEmpty())
         return;
     const TimePoint now = RuntimeClock::now();
     EndpointUpdate update;
@@ -447,6 +453,7 @@
             update.heard.push_back(
                     {id, known->report.startedAtMs, toMilliseconds(now - known->lastHeard)});
     }
+    update.partEvidence = std::exchange(pendingEvidence_, {});
     changedEndpoints_.clear();
     heardEndpoints_.clear();
     broadcast(update);
@@ -459,12 +466,21 @@
     for (const auto &[id, known] : endpointTable_.endpoints)
         update.changed.push_back(
                 {known.report, toMilliseconds(now - known.lastHeard), known.isLeaving});
+    update.partEvidence = allEvidence(quarantine_, now);
     return update;
 }
 
 void ControlProcess::handleEndpointUpdate(const EndpointUpdate &update)
 {
-    applyEndpointUpdate(endpointTable_, update, currentConfiguration(), RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    PartEvidence news = mergeEvidence(quarantine_, update.partEvidence, now);
+    if (!news.isEmpty()) {
+        appendEvidence(pendingEvidence_, std::move(news));
+        scheduleEndpointUpdate();
+    }
+    if (update.changed.empty() && update.heard.empty())
+        return;
+    applyEndpointUpdate(endpointTable_, update, currentConfiguration(), now);
     nextPlanAt_ = TimePoint{};
 }
 
@@ -648,6 +664,7 @@
     gauge("groups_opening", groupsByStage[GroupState::Opening]);
     gauge("groups_open", groupsByStage[GroupState::Open]);
     gauge("groups_closing", groupsByStage[GroupState::Closing]);
+    gauge("quarantined_part_sets", static_cast<double>(activeVerdictCount(quarantine_)));
     gauge("orders_sent_total", static_cast<double>(ordersSent_));
     gauge("orders_unanswered_total", static_cast<double>(ordersUnanswered_));
     gauge("entry_lists_total", static_cast<double>(entryListRequests_));
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -62,6 +62,9 @@
     void announceEndpointChange(const EndpointId &endpoint);
     void recordHeardEndpoint(const EndpointId &endpoint);
 
+    // Broadcasts an update after a short delay, so that it contains further changes.
+    void scheduleEndpointUpdate();
+
     // Sends all accepted links the endpoints that changed or sent a heartbeat since the last
     // update.
     void broadcastEndpointUpdate();
@@ -117,6 +120,12 @@
     std::set<EndpointId> changedEndpoints_;
     std::set<EndpointId> heardEndpoints_;
 
+    // Evidence about parts of prompts of all entries, kept for entries that start.
+    PartQuarantine quarantine_;
+
+    // Evidence that the next update contains.
+    PartEvidence pendingEvidence_;
+
     bool isUpdateScheduled_ = false;
     TimePoint nextHeardUpdateAt_{};
     TimePoint nextHelloAt_{};
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/entryprocess.h"
 
 #include "libgateway/documentpacking.h"
+#include "libgateway/entryquarantine.h"
 #include "libgateway/relaysession.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
@@ -49,6 +50,9 @@
 // Stalls that occur within this time are reported together.
 constexpr auto StallReportDelay = std::chrono::milliseconds(100);
 
+// Evidence about parts of prompts that arrives within this time is judged and sent together.
+constexpr auto EvidenceDelay = std::chrono::milliseconds(4);
+
 constexpr std::size_t CallerInputCapacity = 256 * 1024;
 constexpr std::size_t LinkInputCapacity = 4 * 1024 * 1024;
 constexpr std::size_t MaxDatagramBytes = 32 * 1024;
@@ -94,6 +98,7 @@
     , processStartMs_(wallTimeMs())
     , digestSocket_(context, toEndpoint<udp>(internalAddress_))
     , tickTimer_(context)
+    , evidenceTimer_(context)
     , controlLinks_(
               context, internalAddress_, LinkInputCapacity, [this] { return makeHello(); },
               [this](const std::string &address, Link & /*link*/, LinkMessage &&message) {
@@ -137,6 +142,13 @@
     state_.sendStallReport = [this] {
         nextHelloAt_ = std::min(nextHelloAt_, RuntimeClock::now() + StallReportDelay);
     };
+    state_.scheduleEvidence = [this] { scheduleEvidence(); };
+    controlLinks_.setConnectHandler([this](Link &link) {
+        EndpointUpdate update;
+        update.partEvidence = allEvidence(state_.quarantine, RuntimeClock::now());
+        if (!update.partEvidence.isEmpty())
+            link.send(update);
+    });
     tick();
     logEvent(Event::Started, {{"role", "entry"}, {"address", state_.settings.callerListenAddress}});
 }
@@ -171,7 +183,12 @@
                                                 .count())}});
     compensatePause(state_.placement.table, tickDelay, now);
     controlLinks_.maintainLinks();
+    state_.isLinkedToControl =
+            std::any_of(controlLinks_.peers().begin(), controlLinks_.peers().end(),
+                        [](const auto &item) { return item.second.link != nullptr; });
     requestConfiguration();
+    if (!state_.quarantine.ends.empty())
+        sendEvidence();
     if (now >= nextHelloAt_) {
         nextHelloAt_ = now + HelloInterval;
         controlLinks_.broadcastHello();
@@ -186,6 +203,8 @@
                       [now](const auto &item) { return now - item.second > ProgressRetention; });
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
         state_.connectionPool.closeExpired(now);
+        removeExpiredEvidence(state_.quarantine, now);
+        logVerdictChanges(state_);
         flushStructuredLog();
     }
     if (now >= nextDigestAt_)
@@ -206,6 +225,7 @@
     if (auto *update = std::get_if<EndpointUpdate>(&message)) {
         applyEndpointUpdate(state_.placement.table, *update, state_.config.get(),
                             RuntimeClock::now());
+        applyEvidence(state_, update->partEvidence);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
         control->knownNodes = std::move(topology->nodes);
         for (const KnownNode &node : control->knownNodes) {
@@ -309,6 +329,33 @@
     return hello;
 }
 
+void EntryProcess::scheduleEvidence()
+{
+    if (isEvidenceScheduled_)
+        return;
+    isEvidenceScheduled_ = true;
+    evidenceTimer_.expires_after(EvidenceDelay);
+    evidenceTimer_.async_wait([this](const boost::system::error_code &error) {
+        isEvidenceScheduled_ = false;
+        if (!error)
+            sendEvidence();
+    });
+}
+
+void EntryProcess::sendEvidence()
+{
+    judgeEvidence(state_);
+    EndpointUpdate update;
+    update.partEvidence = std::exchange(state_.pendingEvidence, {});
+    if (update.partEvidence.isEmpty())
+        return;
+    const std::string frame = encodeLinkFrame(update);
+    for (auto &[address, control] : controlLinks_.peers()) {
+        if (control.link)
+            control.link->sendFrame(frame);
+    }
+}
+
 void EntryProcess::updatePeerEntries()
 {
     peerEntries_.clear();
@@ -428,6 +475,7 @@
     set("entries", static_cast<double>(state_.placement.entryCount));
     set("control_links", static_cast<double>(openLinks));
     set("endpoints_usable", static_cast<double>(usableEndpoints));
+    set("quarantined_part_sets", static_cast<double>(activeVerdictCount(state_.quarantine)));
     set("configuration_version", state_.config ? static_cast<double>(state_.config->version) : 0);
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.prometheusText();
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -30,6 +30,17 @@
 
     PlacementState placement;
     WindowedRetryBudget retryBudget;
+    PartQuarantine quarantine;
+
+    // Evidence about parts of prompts that has not been sent to the control VMs yet.
+    PartEvidence pendingEvidence;
+
+    // Sets of parts that the log named as quarantined.
+    std::set<PartSet> loggedVerdicts;
+
+    // Whether a control VM passes evidence on to the other entries.
+    bool isLinkedToControl = false;
+
     EndpointConnectionPool connectionPool;
     Metrics metrics;
 
@@ -47,6 +58,9 @@
     // Reports `stalledAt` to the control VMs without waiting for the next hello.
     std::function<void()> sendStallReport;
 
+    // Judges and sends new evidence after a short delay.
+    std::function<void()> scheduleEvidence;
+
     std::size_t activeRequests = 0;
 
     // Number of requests that arrived since the start.
@@ -82,6 +96,10 @@
     void requestConfiguration();
     LinkHello makeHello() const;
 
+    // Evidence about parts of prompts.
+    void scheduleEvidence();
+    void sendEvidence();
+
     // Exchange of loads with the other entries.
     void receiveDigests();
     void applyDigest(const LoadDigest &digest);
@@ -104,6 +122,8 @@
     std::unique_ptr<ChannelListener> metricsListener_;
     boost::asio::ip::udp::socket digestSocket_;
     RuntimeTimer tickTimer_;
+    RuntimeTimer evidenceTimer_;
+    bool isEvidenceScheduled_ = false;
     ControlLinks controlLinks_;
 
     // Other entries by name.
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -51,10 +51,41 @@
     archive(e.endpoint, e.startedAtMs, e.ageMs);
 }
 
+template <class Archive>
+void serialize(Archive &archive, SuspectRequest &r)
+{
+    archive(r.request, r.parts);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PartEvidence::End &e)
+{
+    archive(e.engine, e.ageMs, e.suspects);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PartEvidence::Answer &a)
+{
+    archive(a.part, a.ageMs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PartEvidence::Verdict &v)
+{
+    archive(v.parts, v.lastEndAgeMs, v.isReleased, v.releaseAgeMs, v.trialInMs, v.ends, v.requests,
+            v.trials, v.hadAnswer);
+}
+
+template <class Archive>
+void serialize(Archive &archive, PartEvidence &e)
+{
+    archive(e.ends, e.answers, e.verdicts);
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointUpdate &u)
 {
-    archive(u.changed, u.heard);
+    archive(u.changed, u.heard, u.partEvidence);
 }
 
 template <class Archive>
@@ -129,7 +160,9 @@
 
 LinkMessage decodeLinkMessage(std::string_view bytes)
 {
-    return decode<LinkMessage>(bytes);
+    // An empty list is encoded as eight zero bytes.
+    constexpr std::size_t maxMissingBytes = 3 * sizeof(std::uint64_t);
+    return decode<LinkMessage>(std::string(bytes) + std::string(maxMissingBytes, '\0'));
 }
 
 LoadDigest decodeLoadDigest(std::string_view bytes)
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -67,7 +67,8 @@
     std::vector<RaftMessage> messages;
 };
 
-// Changes of the endpoint table of a control VM, or its whole content on a new link.
+// Changes of the endpoint table of a control VM, or its whole content on a new link, and evidence
+// about parts of prompts.
 struct EndpointUpdate
 {
     struct ChangedEndpoint
@@ -87,6 +88,9 @@
 
     std::vector<ChangedEndpoint> changed;
     std::vector<HeardEndpoint> heard;
+
+    // Entries send this field alone.
+    PartEvidence partEvidence;
 };
 
 // What a control VM knows of a connected node or of itself.
@@ -161,7 +165,8 @@
 std::string encodeLinkMessage(const LinkMessage &message);
 std::string encodeLoadDigest(const LoadDigest &digest);
 
-// Throw std::exception when the bytes cannot be decoded.
+// Throw std::exception when the bytes cannot be decoded. Fields at the end of a message that
+// earlier versions of the program do not send are empty.
 LinkMessage decodeLinkMessage(std::string_view bytes);
 LoadDigest decodeLoadDigest(std::string_view bytes);
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/relaysession.h"
 
 #include "libgateway/engineends.h"
+#include "libgateway/entryquarantine.h"
 #include "libgateway/eventstream.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
@@ -74,7 +75,10 @@
     RequestSize size;
 
     // Parts of the prompt that other requests may share.
-    std::vector<PromptPartId> sharedParts;
+    PartSet sharedParts;
+
+    // Equal for the repeats of a request.
+    std::uint64_t contentKey = 0;
 
     TimePoint arrivedAt{};
 
@@ -107,6 +111,9 @@
     // This request makes no progress, but others at the endpoint do.
     RequestStalled,
 
+    // The request was taken back before its answer began, because its parts end engines.
+    Withdrawn,
+
     // The deadline of the caller or the route passed.
     TimedOut,
 
@@ -114,8 +121,9 @@
 };
 
 // Names of the outcomes in the log.
-constexpr const char *AttemptOutcomeNames[] = {"answered", "failed", "not run",   "unknown",
-                                               "stalled",  "stuck",  "timed out", "caller gone"};
+constexpr const char *AttemptOutcomeNames[] = {"answered",  "failed",    "not run",
+                                               "unknown",   "stalled",   "stuck",
+                                               "withdrawn", "timed out", "caller gone"};
 
 // State of a request across all its attempts.
 struct RelayProgress
@@ -132,6 +140,15 @@
     // Whether the connection of the last attempt ended before its answer did.
     bool isConnectionLost = false;
 
+    // Whether the last attempt had not begun to answer when its engine ended.
+    bool isSuspect = false;
+
+    // Whether the request tries parts that are quarantined.
+    bool isTrial = false;
+
+    // Whether the request is refused because of its parts.
+    bool isQuarantined = false;
+
     TimePoint lastEventAt{};
 
     // Time at which the latest event was forwarded to the caller, and the longest time between two
@@ -413,7 +430,13 @@
                         parseNumber(std::string_view(*tokens).substr(comma + 1)).value_or(0);
         }
         if (const std::string *parts = findField(request.head, headerNames.promptParts))
-            request.sharedParts = sharedParts(state_.dialect.decodePromptParts(*parts));
+            setParts(request, state_.dialect.decodePromptParts(*parts));
+    }
+
+    static void setParts(RelayRequest &request, const std::vector<PromptPart> &parts)
+    {
+        request.sharedParts = sharedParts(parts);
+        request.contentKey = requestKey(parts);
     }
 
     asio::awaitable<bool> serveRequest(RelayRequest &request)
@@ -452,6 +475,8 @@
             progress.lastOutcome = AttemptOutcome::TimedOut;
             co_return false;
         }
+        if (isRefusedByParts(request, progress, now))
+            co_return false;
         const Placement placement = placeNextAttempt(request, progress, now);
         progress.candidateCount = placement.candidateCount;
         progress.retryAfter = placement.retryAfter;
@@ -467,6 +492,8 @@
         if (progress.sendCount > 0) {
             const bool mayRepeat =
                     progress.sendCount < request.route->maxAttempts
+                    && (!progress.isSuspect
+                        || tryTakeRepeatAfterEnd(state_.quarantine, request.sharedParts, now))
                     && tryTakeRetry(state_.retryBudget, state_.placement.entryCount, now);
             if (!mayRepeat)
                 co_return false;
@@ -481,6 +508,20 @@
         co_return mayRetry(request, progress);
     }
 
+    // Returns whether the request is refused because its parts end engines.
+    bool isRefusedByParts(const RelayRequest &request, RelayProgress &progress, TimePoint now)
+    {
+        const auto verdict = findRefusal(state_, request.sharedParts, progress.isTrial);
+        if (!verdict)
+            return false;
+        progress.isQuarantined = true;
+        progress.lastReason =
+                "engines ended with the part " + toText(verdict->parts) + " of the prompt";
+        progress.retryAfter = std::max(verdict->verdict.nextTrialAt - now, Duration::zero());
+        state_.metrics.incrementCounter("trefoil_quarantine_refusals_total", "");
+        return true;
+    }
+
     Placement placeNextAttempt(const RelayRequest &request, const RelayProgress &progress,
                                TimePoint now)
     {
@@ -513,6 +554,7 @@
         case AttemptOutcome::EndpointStalled:
         case AttemptOutcome::RequestStalled:
             return isRepeatable(*request.route);
+        case AttemptOutcome::Withdrawn:
         case AttemptOutcome::Answered:
         case AttemptOutcome::TimedOut:
         case AttemptOutcome::CallerDisconnected:
@@ -558,12 +600,19 @@
     }
 
     // Finds out whether the engine ended or only the connection to it.
-    asio::awaitable<void> checkEngine(const RelayRequest &request, const RelayProgress &progress,
+    asio::awaitable<void> checkEngine(const RelayRequest &request, RelayProgress &progress,
                                       const Placement &placement)
     {
         const bool hasEnded = co_await hasEngineEnded(state_, placement);
         if (!hasEnded)
             co_return;
+        progress.isSuspect = !progress.hasBegun;
+        if (progress.isSuspect)
+            addEvidence(state_,
+                        recordEngineEnd(state_.quarantine,
+                                        incarnationKey(placement.endpoint, placement.startedAtMs),
+                                        {request.contentKey, request.sharedParts},
+                                        RuntimeClock::now()));
         state_.metrics.incrementCounter("trefoil_requests_at_engine_end_total", "");
         logEvent(Event::EngineEnded,
                  {{"endpoint", placement.endpoint},
@@ -605,8 +654,9 @@
         }
         if (!progress.mayHaveExecuted) {
             const Duration remaining = request.deadline - RuntimeClock::now();
+            const Duration maxWait = progress.isQuarantined ? progress.retryAfter : remaining / 3;
             const Duration wait = std::clamp(progress.retryAfter, Duration::zero(),
-                                             std::max(remaining / 3, Duration::zero()));
+                                             std::max(maxWait, Duration::zero()));
             co_return co_await refuseAfterAttempts(request, progress, 503, wait);
         }
         const std::uint32_t status = progress.lastOutcome == AttemptOutcome::TimedOut ? 504 : 502;
@@ -756,6 +806,7 @@
         ++progress.sendCount;
         progress.hasBegun = false;
         progress.isConnectionLost = false;
+        progress.isSuspect = false;
         const bool mayHaveExecutedBefore = progress.mayHaveExecuted;
         progress.mayHaveExecuted = true;
         const std::string text = makeRequestText(request, progress, placement);
@@ -835,6 +886,10 @@
             }
             if (channel_->isEnded())
                 co_return AttemptOutcome::CallerDisconnected;
+            if (mustWithdraw(request, progress)) {
+                progress.lastReason = "engines ended with a part of the prompt";
+                co_return AttemptOutcome::Withdrawn;
+            }
             const TimePoint now = RuntimeClock::now();
             if (now >= request.deadline) {
                 progress.lastReason = "the time is over";
@@ -866,6 +921,16 @@
         }
     }
 
+    // Returns whether the request should be taken back from its engine. Requests with parts that
+    // were answered before stay, since their answers show when a verdict is wrong.
+    bool mustWithdraw(const RelayRequest &request, const RelayProgress &progress) const
+    {
+        if (progress.hasBegun || progress.isTrial)
+            return false;
+        const auto verdict = findVerdict(state_.quarantine, request.sharedParts);
+        return verdict && !verdict->verdict.hadAnswer;
+    }
+
     HttpParser makeResponseParser(const RelayRequest &request) const
     {
         HttpParser parser(HttpMessageKind::Response, MaxResponseHeaderBytes, MaxResponseBodyBytes);
@@ -962,6 +1027,7 @@
                 recordFirstEvent(state_.placement.overheads[request.model], placement.estimate,
                                  now - progress.lastEventAt);
             if (!progress.hasBegun) {
+                addEvidence(state_, recordBegunAnswer(state_.quarantine, request.sharedParts, now));
                 removeLoad(state_.placement, placement.endpoint, {0, load.pendingPromptTokens});
                 load.pendingPromptTokens = 0;
             }
@@ -1029,6 +1095,8 @@
             co_return AttemptOutcome::Failed;
         }
         progress.hasBegun = true;
+        addEvidence(state_,
+                    recordBegunAnswer(state_.quarantine, request.sharedParts, RuntimeClock::now()));
         progress.firstByteAt = RuntimeClock::now();
         progress.isResponseHeadSent = true;
         const bool isForwarded = co_await forwardResponse(request, head, body);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -272,6 +272,41 @@
     BOOST_CHECK_THROW(decodeLinkMessage("garbage"), std::exception);
 }
 
+// An entry that loses a field of the evidence sends on requests that end engines.
+BOOST_AUTO_TEST_CASE(evidence_about_prompt_parts_loses_content)
+{
+    EndpointUpdate update;
+    update.partEvidence.ends = {{7, 12, {{9, {1, 2}}, {10, {3}}}}};
+    update.partEvidence.answers = {{2, 40}};
+    update.partEvidence.verdicts = {{{1, 2}, 5, true, 6, 7, 8, 9, 10, true}};
+    const auto decoded = std::get<EndpointUpdate>(decodeLinkMessage(encodeLinkMessage(update)));
+    const PartEvidence &evidence = decoded.partEvidence;
+    BOOST_REQUIRE_EQUAL(evidence.ends.size(), 1);
+    BOOST_CHECK_EQUAL(evidence.ends[0].engine, 7);
+    BOOST_CHECK_EQUAL(evidence.ends[0].ageMs, 12);
+    BOOST_CHECK(evidence.ends[0].suspects == update.partEvidence.ends[0].suspects);
+    BOOST_REQUIRE_EQUAL(evidence.answers.size(), 1);
+    BOOST_CHECK_EQUAL(evidence.answers[0].part, 2);
+    BOOST_CHECK_EQUAL(evidence.answers[0].ageMs, 40);
+    BOOST_REQUIRE_EQUAL(evidence.verdicts.size(), 1);
+    BOOST_CHECK(evidence.verdicts[0] == update.partEvidence.verdicts[0]);
+}
+
+// During an upgrade, entries and control VMs of two versions are linked.
+BOOST_AUTO_TEST_CASE(endpoint_update_of_an_earlier_version_ends_the_link)
+{
+    EndpointUpdate update;
+    update.heard = {{"e1", 5, 6}};
+    std::string bytes = encodeLinkMessage(update);
+    bytes.resize(bytes.size() - 3 * sizeof(std::uint64_t));
+    const auto decoded = std::get<EndpointUpdate>(decodeLinkMessage(bytes));
+    BOOST_CHECK_EQUAL(decoded.heard.size(), 1);
+    BOOST_CHECK(decoded.partEvidence.isEmpty());
+    bytes.resize(bytes.size() - 1);
+    bytes.resize(bytes.size() / 2);
+    BOOST_CHECK_THROW(decodeLinkMessage(bytes), std::exception);
+}
+
 // Configurations with 1,600 routes are sent one after another to 75 processes over slow links, so
 // documents are packed. A damaged or truncated one must be detected.
 BOOST_AUTO_TEST_CASE(packed_document_is_too_large_or_unpacked_wrongly)
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE relay
 #include "libgateway/relaysession.h"
 
+#include "libgateway/engineends.h"
+#include "libgateway/entryquarantine.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/test/unit_test.hpp>
@@ -33,6 +35,10 @@
     std::vector<std::string> responses;
     bool closesAfterResponse = false;
 
+    // The engine ends with all its connections when it gets a request with this text in its prompt
+    // parts.
+    std::string endingPart;
+
     // Sent after each response up to `maxPieces` times, with a delay before each, until the relay
     // closes the connection.
     std::string repeatedPiece;
@@ -47,6 +53,13 @@
     std::string address;
 };
 
+bool endsEngine(const ScriptedEndpoint &endpoint, const HttpHead &request)
+{
+    const std::string *parts = findField(request, "X-Trefoilrun-Prompt-Prefix");
+    return !endpoint.endingPart.empty() && parts
+           && parts->find(endpoint.endingPart) != std::string::npos;
+}
+
 asio::awaitable<void> serveScript(ScriptedEndpoint &endpoint, ChannelPointer channel)
 {
     AsyncCondition signal(channel->executor());
@@ -61,6 +74,10 @@
             break;
         endpoint.receivedHeads.push_back(parser.head());
         endpoint.receivedBodies.push_back(parser.takeBody());
+        if (endsEngine(endpoint, parser.head())) {
+            endpoint.listener->close();
+            break;
+        }
         const std::size_t requestIndex = endpoint.receivedHeads.size() - 1;
         if (requestIndex < endpoint.responses.size())
             co_await channel->write(endpoint.responses[requestIndex],
@@ -91,6 +108,7 @@
     EntryState state{context, makeSettings()};
     ScriptedEndpoint first;
     ScriptedEndpoint second;
+    ScriptedEndpoint third;
     std::unique_ptr<ChannelListener> entryListener;
 
     // Bytes that the caller received.
@@ -100,9 +118,12 @@
     {
         first.id = "e1";
         second.id = "e2";
+        third.id = "e3";
         listen(first);
         listen(second);
+        listen(third);
         state.sendStallReport = [] {};
+        state.scheduleEvidence = [this] { judgeEvidence(state); };
         entryListener = std::make_unique<ChannelListener>(
                 context, loopbackWithFreePort(), InputCapacity, [this](ChannelPointer channel) {
                     asio::co_spawn(context, runRelaySession(state, std::move(channel)),
@@ -154,6 +175,8 @@
         addEndpointReport(first);
         if (endpoints > 1)
             addEndpointReport(second);
+        if (endpoints > 2)
+            addEndpointReport(third);
         state.retryBudget.options.allowance = 100;
     }
 
@@ -168,9 +191,11 @@
         report.startedAtMs = 1;
         report.sequence = 1;
         applyReport(state.placement.table, report, {}, RuntimeClock::now());
-        // The load makes the entry choose the second endpoint only after the first.
+        // The load makes the entry choose the endpoints in their order.
         if (endpoint.id == "e2")
             addLoad(state.placement, "e2", {12, 0});
+        if (endpoint.id == "e3")
+            addLoad(state.placement, "e3", {24, 0});
     }
 
     asio::awaitable<void> sendRequest(std::string request, std::string expectedText)
@@ -200,6 +225,7 @@
     // Sends a request and runs until the response contains `expectedText` or the connection ends.
     void exchange(const std::string &request, const std::string &expectedText)
     {
+        context.restart();
         asio::co_spawn(context, sendRequest(request, expectedText), asio::detached);
         context.run();
     }
@@ -567,4 +593,94 @@
     BOOST_CHECK(contains(fixture.callerInput, "Connection: close"));
 }
 
+namespace {
+
+std::string makeStreamRequest(const std::string &parts)
+{
+    return makeRequest(KeyField + "X-Trefoilrun-Prompt-Prefix: " + parts + "\r\n", "{}");
+}
+
+std::string makeWholeStream(const std::string &events)
+{
+    return makeStreamHead() + toChunk(events) + "0\r\n\r\n";
+}
+
+// Makes the first two engines end by requests with the part "bad" and gives the third one answers.
+void publishEndingEngines(RelayFixture &fixture)
+{
+    fixture.publish(RouteKind::Stream, 3);
+    // Scripted engines end within a millisecond of each other.
+    fixture.state.quarantine.options.concurrentEndWindow = Duration::zero();
+    for (ScriptedEndpoint *endpoint : {&fixture.first, &fixture.second, &fixture.third})
+        endpoint->endingPart = "bad:";
+    fixture.third.responses.assign(3, makeWholeStream("id: 1\ndata: a\n\n"));
+}
+
+} // namespace
+
+// The retries of the entry and of the caller take a request that ends engines from one to the next.
+BOOST_AUTO_TEST_CASE(request_that_ended_two_engines_reaches_a_third)
+{
+    RelayFixture fixture;
+    publishEndingEngines(fixture);
+    fixture.exchange(makeStreamRequest("aa:800,bad:400,1:20"), "HTTP/1.1 502");
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+    fixture.callerInput.clear();
+    judgeEvidence(fixture.state);
+    fixture.exchange(makeStreamRequest("aa:800,bad:400,2:20"), "engines ended");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 503"));
+    BOOST_CHECK(contains(fixture.callerInput, "Retry-After: 2"));
+    BOOST_CHECK(fixture.third.receivedHeads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(sound_request_is_refused_for_a_part_that_it_shares_with_a_bad_one)
+{
+    RelayFixture fixture;
+    publishEndingEngines(fixture);
+    fixture.exchange(makeStreamRequest("aa:800,bad:400,1:20"), "HTTP/1.1 502");
+    fixture.callerInput.clear();
+    judgeEvidence(fixture.state);
+    fixture.exchange(makeStreamRequest("aa:800,3:20"), "data: a");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 200"));
+    BOOST_CHECK_EQUAL(fixture.third.receivedHeads.size(), 1);
+}
+
+// Only the connection ends; the engine lives and takes the next one.
+BOOST_AUTO_TEST_CASE(lost_connection_is_mistaken_for_the_end_of_an_engine)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.closesAfterResponse = true;
+    fixture.second.closesAfterResponse = true;
+    fixture.exchange(makeStreamRequest("aa:800,cc:400,1:20"), "HTTP/1.1 502");
+    BOOST_CHECK(fixture.state.quarantine.ends.empty());
+}
+
+// A planned stop closes the listener while requests may still be in progress.
+BOOST_AUTO_TEST_CASE(planned_stop_is_mistaken_for_the_end_of_an_engine)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 1);
+    fixture.first.listener->close();
+    const auto ask = [&fixture] {
+        Placement placement;
+        placement.endpoint = fixture.first.id;
+        placement.address = fixture.first.address;
+        placement.startedAtMs = 1;
+        bool hasEnded = false;
+        fixture.context.restart();
+        asio::co_spawn(fixture.context, hasEngineEnded(fixture.state, placement),
+                       [&](const std::exception_ptr &, bool answer) {
+                           hasEnded = answer;
+                           fixture.context.stop();
+                       });
+        fixture.context.run();
+        return hasEnded;
+    };
+    BOOST_CHECK(ask());
+    applyDeparture(fixture.state.placement.table, fixture.first.id, 0, RuntimeClock::now());
+    BOOST_CHECK(!ask());
+}
+
 } // namespace Trefoil
