libgateway: a stream that ends inside an event is broken off

What callers saw: an answer without length or chunks that was cut inside an event was closed like a whole stream, with the partial event as its last one; a connection that ended after the head gave an empty whole stream. Cause: the relay took the end of the framing for the end of the stream, and the end of the connection for the end of such framing, and forwarded what was left in its buffer. Now a stream that ends inside an event, or that has no event and ends only with its connection, counts as broken off: it goes on at another endpoint from its last whole event, or the caller's connection is closed without the last chunk.

Evidence: test_relay, stream_that_ends_inside_an_event_looks_complete, fails on the sources before in all four forms. Answers without framing that are whole were relayed before and are now tested.

--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -200,6 +200,11 @@
     return std::visit([](const auto &parser) { return parser.is_done(); }, impl_->parser);
 }
 
+bool HttpParser::endsWithConnection() const
+{
+    return std::visit([](const auto &parser) { return parser.need_eof(); }, impl_->parser);
+}
+
 bool HttpParser::keepsAlive() const
 {
     return std::visit([](const auto &parser) { return parser.keep_alive(); }, impl_->parser);
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -70,6 +70,10 @@
 
     bool isHeadDone() const;
     bool isDone() const;
+
+    // True if the body has neither a length nor chunks, so that the end of the connection ends it.
+    bool endsWithConnection() const;
+
     bool keepsAlive() const;
     const HttpHead &head() const;
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -871,6 +871,11 @@
                 if (!isForwarded)
                     co_return AttemptOutcome::CallerDisconnected;
             }
+            if (isParsed && parser.isDone() && isStream
+                && isBrokenOff(progress, parser, progress.hasBegun)) {
+                progress.lastReason = "the stream ended before an event did";
+                co_return AttemptOutcome::Unknown;
+            }
             if (isParsed && parser.isDone())
                 co_return co_await processResponse(request, progress, parser, connection);
             const bool isOversized = endpoint.input().size() >= ResponseInputCapacity
@@ -1005,15 +1010,24 @@
         return request.route->kind == RouteKind::Stream && isVerifiedSuccess(head);
     }
 
+    // Returns whether a stream whose response has ended is incomplete: it ended inside an event, or
+    // only the end of the connection ended it and it had no event.
+    static bool isBrokenOff(const RelayProgress &progress, const HttpParser &parser, bool hasEvents)
+    {
+        const bool isEmpty = !hasEvents && !progress.eventFilter.lastEventId;
+        return !progress.eventFilter.incompleteEvent.empty()
+               || (isEmpty && parser.endsWithConnection());
+    }
+
     // Forwards complete events as they arrive. Returns false when the caller has disconnected.
     asio::awaitable<bool> forwardEvents(RelayRequest &request, RelayProgress &progress,
                                         const HttpParser &parser, std::string_view bytes,
                                         const Placement &placement, EndpointLoad &load)
     {
-        std::string events = filterEvents(progress.eventFilter, bytes);
-        const bool isComplete = parser.isDone();
-        if (isComplete)
-            events += std::exchange(progress.eventFilter.incompleteEvent, {});
+        const std::string events = filterEvents(progress.eventFilter, bytes);
+        const bool isComplete =
+                parser.isDone()
+                && !isBrokenOff(progress, parser, progress.hasBegun || !events.empty());
         if (events.empty() && !isComplete)
             co_return true;
         std::string text;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -227,13 +227,28 @@
     std::string input = "HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc";
     BOOST_CHECK(parser.consume(input));
     BOOST_CHECK(!parser.isDone());
+    BOOST_CHECK(parser.endsWithConnection());
+    BOOST_CHECK(!parser.keepsAlive());
     parser.finishInput();
     BOOST_CHECK(parser.isDone());
+    BOOST_CHECK_EQUAL(parser.takeBody(), "abc");
     HttpParser truncated(HttpMessageKind::Response, 1024, 1024);
     input = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
     truncated.consume(input);
     truncated.finishInput();
     BOOST_CHECK(!truncated.isDone());
+    BOOST_CHECK(!truncated.endsWithConnection());
+    HttpParser chunked(HttpMessageKind::Response, 1024, 1024);
+    input = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+    chunked.consume(input);
+    chunked.finishInput();
+    BOOST_CHECK(!chunked.isDone());
+    BOOST_CHECK(!chunked.endsWithConnection());
+    HttpParser headOnly(HttpMessageKind::Response, 1024, 1024);
+    input = "HTTP/1.1 200 OK\r\nX: y\r\n";
+    headOnly.consume(input);
+    headOnly.finishInput();
+    BOOST_CHECK(!headOnly.isDone());
 }
 
 BOOST_AUTO_TEST_CASE(hop_by_hop_fields_are_forwarded)
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -683,4 +683,75 @@
     BOOST_CHECK(!ask());
 }
 
+namespace {
+
+// Head of a response that ends with its connection.
+std::string makeUnframedHead()
+{
+    return "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
+           "Content-Type: text/event-stream\r\n\r\n";
+}
+
+const std::string FirstEvent = "id: 1\ndata: a\n\n";
+const std::string SecondEvent = "id: 2\ndata: b\n\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(response_without_length_or_chunks_is_truncated)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 1);
+    fixture.first.responses = {makeUnframedHead() + "the whole body"};
+    fixture.first.closesAfterResponse = true;
+    fixture.exchange(makeRequest(KeyField, ""), "the whole body");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 200"));
+    BOOST_CHECK(contains(fixture.callerInput, "X-Trefoilrun-Response-Seal: s1"));
+    BOOST_CHECK(contains(fixture.callerInput, "Content-Length: 14"));
+}
+
+BOOST_AUTO_TEST_CASE(stream_without_length_or_chunks_is_broken_off)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.responses = {makeUnframedHead() + FirstEvent + SecondEvent};
+    fixture.first.closesAfterResponse = true;
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, FirstEvent + SecondEvent));
+    BOOST_CHECK(fixture.second.receivedHeads.empty());
+}
+
+// The caller must not take a partial event for the last one.
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_looks_complete)
+{
+    const std::string partial = "id: 2\ndata: b\n";
+    const std::string bodies[] = {makeUnframedHead() + FirstEvent + partial,
+                                  makeUnframedHead() + partial, makeUnframedHead(),
+                                  makeStreamHead() + toChunk(FirstEvent + partial) + "0\r\n\r\n"};
+    for (const std::string &body : bodies) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Stream, 1);
+        fixture.first.responses = {body};
+        fixture.first.closesAfterResponse = true;
+        fixture.exchange(makeRequest(KeyField, ""), "HTTP/1.1 502");
+        BOOST_CHECK(!contains(fixture.callerInput, "\r\n0\r\n\r\n"));
+        BOOST_CHECK(!contains(fixture.callerInput, "data: b"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_is_not_resumed)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.responses = {makeUnframedHead() + FirstEvent + "id: 2\nda"};
+    fixture.first.closesAfterResponse = true;
+    fixture.second.responses = {makeUnframedHead() + SecondEvent};
+    fixture.second.closesAfterResponse = true;
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, FirstEvent));
+    BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+    BOOST_REQUIRE_EQUAL(fixture.second.receivedHeads.size(), 1);
+    const std::string *lastEvent = findField(fixture.second.receivedHeads[0], "Last-Event-Id");
+    BOOST_CHECK(lastEvent && *lastEvent == "1");
+}
+
 } // namespace Trefoil
