soak: streams with one part of a prompt end engines

For a part of each run a quarter of the streams has a part that ends the engine as it begins to answer, beside all other faults; the engine's proxy refuses connections meanwhile. Checked: at most three such requests reach engines through undisturbed entries later than 3 s after the fifth end, and no sound stream is refused for its parts.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -180,7 +180,8 @@
          << std::chrono::duration_cast<std::chrono::milliseconds>(time).count()
          << "\r\nAuthorization: Bearer secret\r\nX-Trefoilrun-Tenant-Name: forged\r\n";
     if (request.kind == RequestKind::Stream)
-        text << "X-Trefoilrun-Model-Name: large\r\nX-Trefoilrun-Token-Count: 100,125\r\n";
+        text << "X-Trefoilrun-Prompt-Prefix: " << request.parts
+             << "\r\nX-Trefoilrun-Model-Name: large\r\nX-Trefoilrun-Token-Count: 100,125\r\n";
     if (lastEvent > 0)
         text << "Last-Event-Id: " << lastEvent << "\r\n";
     text << "Content-Length: " << request.body.size() << "\r\n\r\n" << request.body;
@@ -347,6 +348,10 @@
     const SentRequest &request = soak.sent[id];
     const std::uint64_t lastEvent = std::exchange(caller.lastEvent, 0);
     if (result.status != 200) {
+        const bool isRefusedByPart = result.body.find("engines ended with") != std::string::npos;
+        if (isRefusedByPart && !request.hasEndingPart)
+            reportViolation(soak,
+                            "sound stream " + id + " was refused for its parts: " + result.body);
         if (result.status != 0)
             checkErrorStatus(soak, id, result.status);
         else
@@ -366,6 +371,17 @@
         countFailure(soak, request.kind, "incomplete response");
 }
 
+// All streams share the first part, and sound ones also have one of a few others.
+void choosePromptParts(SoakState &soak, SentRequest &request)
+{
+    constexpr double endingProbability = 0.25;
+    constexpr std::uint64_t soundParts = 5;
+    request.hasEndingPart = soak.isEndingPartActive && randomFraction(soak) < endingProbability;
+    const std::string second =
+            request.hasEndingPart ? "dead" : std::to_string(randomBelow(soak, soundParts));
+    request.parts = "aa:40," + second + ":50," + std::to_string(soak.nextRequest) + ":10";
+}
+
 SentRequest makeRandomRequest(SoakState &soak, const Caller &caller, const std::string &id)
 {
     SentRequest request;
@@ -377,6 +393,9 @@
     constexpr const char *paths[] = {"/stream/x?a=1", "/book/x", "/look/x"};
     request.path = paths[static_cast<std::size_t>(request.kind)];
     request.body = "body of " + id;
+    request.entry = caller.entry;
+    if (request.kind == RequestKind::Stream)
+        choosePromptParts(soak, request);
     return request;
 }
 
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -35,9 +35,24 @@
 FaultProxy::FaultProxy(asio::io_context &context, const std::string &listenAddress,
                        std::string targetAddress)
     : context_(context)
-    , acceptor_(context, toEndpoint<tcp>(listenAddress))
+    , listenEndpoint_(toEndpoint<tcp>(listenAddress))
+    , acceptor_(context)
     , target_(std::move(targetAddress))
 {
+    startListening();
+}
+
+void FaultProxy::stopListening()
+{
+    boost::system::error_code ignored; // The acceptor is opened again in any case.
+    acceptor_.close(ignored);
+}
+
+void FaultProxy::startListening()
+{
+    if (acceptor_.is_open())
+        return;
+    acceptor_ = tcp::acceptor(context_, listenEndpoint_);
     asio::co_spawn(context_, acceptConnections(), asio::detached);
 }
 
@@ -59,6 +74,8 @@
         boost::system::error_code error;
         co_await acceptor_.async_accept(connection->client,
                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            co_return;
         if (error)
             continue;
         std::erase_if(connections_, [](const auto &item) { return item.expired(); });
--- a/tests/soak/faultproxy.h
+++ b/tests/soak/faultproxy.h
@@ -31,6 +31,10 @@
 
     void setFault(const ProxyFault &fault) { fault_ = fault; }
 
+    // Refuses connections until startListening() is called.
+    void stopListening();
+    void startListening();
+
     // Resets both sides of all open connections.
     void resetConnections();
 
@@ -54,6 +58,7 @@
     boost::asio::awaitable<void> waitForFault(bool isResponse);
 
     boost::asio::io_context &context_;
+    boost::asio::ip::tcp::endpoint listenEndpoint_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::string target_;
     ProxyFault fault_;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -161,7 +161,8 @@
         logFault(soak, endpoint.id + " crashes");
         crashEndpoint(soak, endpoint);
         co_await sleepFor(duration);
-        restartEndpoint(soak, endpoint);
+        if (!isRunning(endpoint))
+            restartEndpoint(soak, endpoint);
         co_return;
     case 1:
         logFault(soak, "responses of " + endpoint.id + " are lost");
@@ -190,10 +191,22 @@
         co_await injectEndpointFault(soak, duration);
 }
 
+// Lets requests with one prompt part end engines for a part of the test.
+asio::awaitable<void> runEndingPart(SoakState &soak)
+{
+    co_await sleepFor(randomDuration(soak, Duration::zero(), soak.options.duration / 2));
+    logFault(soak, "a prompt part ends engines");
+    soak.isEndingPartActive = true;
+    co_await sleepFor(randomDuration(soak, soak.options.duration / 4, soak.options.duration / 2));
+    soak.isEndingPartActive = false;
+    logFault(soak, "the prompt part ends no more engines");
+}
+
 } // namespace
 
 asio::awaitable<void> injectFaults(SoakState &soak)
 {
+    asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     ActiveFaults active;
     while (RuntimeClock::now() < until) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -64,7 +64,8 @@
     std::cout << "seed " << soak.options.seed << ": " << counts.requests << " requests, "
               << counts.served << " served, " << counts.refused << " refused, " << counts.failed
               << " failed; " << counts.faults << " faults, " << counts.publishedConfigurations
-              << " configurations" << std::endl;
+              << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
+              << soak.lateEndingRequests << " late ones" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -107,6 +107,13 @@
 
     // The caller was told that the request has not run.
     bool isRefused = false;
+
+    // Prompt parts of a stream. One of them ends engines if `hasEndingPart`.
+    std::string parts;
+    bool hasEndingPart = false;
+
+    // Address of the entry for callers.
+    std::string entry;
 };
 
 struct SoakCounts
@@ -152,6 +159,14 @@
 
     bool hasFaults = false;
 
+    // Requests with the ending part are sent, and end the engines that begin to answer them.
+    bool isEndingPartActive = false;
+
+    // Times at which requests ended engines, and the number of such requests that undisturbed
+    // entries sent to engines when this was no longer allowed.
+    std::vector<TimePoint> engineEnds;
+    std::size_t lateEndingRequests = 0;
+
     // Stops the callers and the operator.
     bool isOver = false;
 };
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -25,6 +25,8 @@
 constexpr auto EventInterval = std::chrono::milliseconds(40);
 // Processing time of a request to the plain service.
 constexpr auto PlainServiceTime = std::chrono::milliseconds(15);
+// Time until an engine that a request ended is back.
+constexpr auto EngineRestartTime = std::chrono::seconds(2);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
 constexpr auto LoadTime = std::chrono::seconds(3);
 constexpr auto WarmUpTime = std::chrono::milliseconds(300);
@@ -241,6 +243,44 @@
     co_return co_await session.write(makePlainResponse(head, body));
 }
 
+// Counts a request that ends engines if its entry should know its part by now: the fifth engine
+// ended some time ago, and neither the entry nor a control VM was disturbed since.
+void checkEndingRequest(SoakState &soak, const SentRequest &request)
+{
+    constexpr std::size_t allowedEnds = 5;
+    constexpr std::size_t allowedRequests = 3;
+    constexpr auto allowedTime = std::chrono::seconds(3);
+    const bool isAllowed = soak.engineEnds.size() < allowedEnds
+                           || RuntimeClock::now() - soak.engineEnds[allowedEnds - 1] < allowedTime;
+    const bool isDisturbed =
+            std::any_of(soak.nodes.begin(), soak.nodes.end(), [&](const SoakNode &node) {
+                const bool isConcerned =
+                        node.role == "control" || addressOf(node, CallerPort) == request.entry;
+                return isConcerned && !isUndisturbed(node, allowedTime);
+            });
+    if (isAllowed || isDisturbed)
+        return;
+    ++soak.lateEndingRequests;
+    if (soak.lateEndingRequests == allowedRequests + 1)
+        reportViolation(soak, "requests whose part ended five engines still reach engines");
+}
+
+// Ends the engine as it begins to answer the request.
+asio::awaitable<void> endEngine(Session &session, const SentRequest &request)
+{
+    SoakState &soak = session.soak;
+    SoakEndpoint &endpoint = session.endpoint;
+    checkEndingRequest(soak, request);
+    co_await sleepFor(EventInterval);
+    if (!session.isAlive())
+        co_return;
+    soak.engineEnds.push_back(RuntimeClock::now());
+    crashEndpoint(soak, endpoint);
+    co_await sleepFor(EngineRestartTime);
+    if (!isRunning(endpoint))
+        restartEndpoint(soak, endpoint);
+}
+
 // Handles one request. Returns whether the connection stays open.
 asio::awaitable<bool> handleRequest(Session &session, const HttpHead &head, const std::string &body)
 {
@@ -261,6 +301,10 @@
     if (isStream && !isServingHead(session.soak, endpoint))
         co_return co_await session.write(makeNotExecutedResponse(503, head));
     recordExecution(session.soak, head, *request);
+    if (request->hasEndingPart && session.soak.isEndingPartActive) {
+        co_await endEngine(session, *request);
+        co_return false;
+    }
     if (isStream)
         co_return co_await writeStream(session, head);
     co_return co_await writePlainResponse(session, head, body);
@@ -463,6 +507,7 @@
         crashEngine(soak.fleet, endpoint.id);
     endpoint.listener.reset();
     ++endpoint.incarnation;
+    endpoint.proxy->stopListening();
     endpoint.proxy->resetConnections();
 }
 
@@ -480,6 +525,7 @@
                                            + std::to_string(endpoint.report.startedAtMs);
     }
     startListening(soak, endpoint);
+    endpoint.proxy->startListening();
 }
 
 asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint)
