libfleet: the evaluation of prompt parts has plain names

Names of a court (judge, accused, rival, case) became evaluate, candidate, alternative cause and statistics. No behaviour changes; test_partquarantine and test_relay pass.

--- a/src/libfleet/partquarantine.cpp
+++ b/src/libfleet/partquarantine.cpp
@@ -139,8 +139,8 @@
     return evidence;
 }
 
-// Ends that count for or against one part.
-struct PartCase
+// Ends that count against one part.
+struct PartStatistics
 {
     PromptPartId part = 0;
     std::set<IncarnationKey> ends;
@@ -184,11 +184,11 @@
                        });
 }
 
-// Returns the cases of all parts whose engines ended since their last answer. Leaves out the ends
+// Returns the parts of all parts whose engines ended since their last answer. Leaves out the ends
 // that verdicts explain.
-std::vector<PartCase> collectCases(const PartQuarantine &quarantine)
+std::vector<PartStatistics> collectStatistics(const PartQuarantine &quarantine)
 {
-    std::map<PromptPartId, PartCase> cases;
+    std::map<PromptPartId, PartStatistics> parts;
     for (const auto &[engine, end] : quarantine.ends) {
         if (isExplained(quarantine, end))
             continue;
@@ -197,87 +197,88 @@
                 const auto answer = quarantine.suspectAnswers.find(part);
                 if (answer != quarantine.suspectAnswers.end() && answer->second >= end.at)
                     continue;
-                PartCase &partCase = cases[part];
-                partCase.part = part;
-                partCase.ends.insert(engine);
-                partCase.lastEndAt = std::max(partCase.lastEndAt, end.at);
-                partCase.requests.insert(request.request);
-                partCase.suspects.emplace(engine, request);
-                partCase.hasKnownAnswer = answer != quarantine.suspectAnswers.end()
-                                          || findAnswer(quarantine.answered, part).has_value();
+                PartStatistics &statistics = parts[part];
+                statistics.part = part;
+                statistics.ends.insert(engine);
+                statistics.lastEndAt = std::max(statistics.lastEndAt, end.at);
+                statistics.requests.insert(request.request);
+                statistics.suspects.emplace(engine, request);
+                statistics.hasKnownAnswer = answer != quarantine.suspectAnswers.end()
+                                            || findAnswer(quarantine.answered, part).has_value();
             }
         }
     }
-    std::vector<PartCase> result;
-    for (auto &[part, partCase] : cases) {
-        partCase.endCount = countSeparateEnds(quarantine, partCase.ends);
-        result.push_back(std::move(partCase));
+    std::vector<PartStatistics> result;
+    for (auto &[part, statistics] : parts) {
+        statistics.endCount = countSeparateEnds(quarantine, statistics.ends);
+        result.push_back(std::move(statistics));
     }
     return result;
 }
 
-bool hasEnoughEvidence(const PartCase &partCase, const PartQuarantineOptions &options,
+bool hasEnoughEvidence(const PartStatistics &statistics, const PartQuarantineOptions &options,
                        TimePoint now)
 {
-    if (now - partCase.lastEndAt < options.settlingTime)
+    if (now - statistics.lastEndAt < options.settlingTime)
         return false;
-    if (!partCase.hasKnownAnswer)
-        return partCase.endCount >= options.endsWithoutAnswer;
-    return partCase.endCount >= options.endsAfterAnswer
-           && partCase.requests.size() >= options.requestsAfterAnswer;
+    if (!statistics.hasKnownAnswer)
+        return statistics.endCount >= options.endsWithoutAnswer;
+    return statistics.endCount >= options.endsAfterAnswer
+           && statistics.requests.size() >= options.requestsAfterAnswer;
 }
 
-// Returns whether `other` may have ended the engines instead of the accused part. A part that
-// stands in all requests with the accused one only accompanies it.
-bool isRival(const PartCase &accused, const PartCase &other, const PartQuarantineOptions &options,
-             TimePoint now)
+// Returns whether `other` may have ended the engines instead of the candidate. A part that
+// stands in all requests with the candidate only accompanies it.
+bool isAlternativeCause(const PartStatistics &candidate, const PartStatistics &other,
+                        const PartQuarantineOptions &options, TimePoint now)
 {
     const bool accompanies = std::includes(other.suspects.begin(), other.suspects.end(),
-                                           accused.suspects.begin(), accused.suspects.end());
+                                           candidate.suspects.begin(), candidate.suspects.end());
     if (accompanies)
         return false;
     std::vector<IncarnationKey> common;
-    std::set_intersection(accused.ends.begin(), accused.ends.end(), other.ends.begin(),
+    std::set_intersection(candidate.ends.begin(), candidate.ends.end(), other.ends.begin(),
                           other.ends.end(), std::back_inserter(common));
-    // Of a part that has been answered and one that never was, the latter is more likely to blame.
-    if (accused.hasKnownAnswer && !other.hasKnownAnswer)
-        return common.size() + 1 >= accused.ends.size();
+    // Of a part that has been answered and one that never was, the latter is more likely the cause.
+    if (candidate.hasKnownAnswer && !other.hasKnownAnswer)
+        return common.size() + 1 >= candidate.ends.size();
     const bool isLikely = hasEnoughEvidence(other, options, now)
-                          || other.requests.size() > accused.requests.size();
-    return isLikely && common.size() == accused.ends.size();
+                          || other.requests.size() > candidate.requests.size();
+    return isLikely && common.size() == candidate.ends.size();
 }
 
-// Returns the strongest case that no rival disputes, or null. The strongest one has the most ends,
+// Returns the most likely cause that has no alternative, or null. It has the most ends,
 // and among equals it is the most specific one, with the fewest requests.
-const PartCase *findUndisputedCase(std::span<const PartCase> cases,
-                                   const PartQuarantineOptions &options, TimePoint now)
+const PartStatistics *findCause(std::span<const PartStatistics> parts,
+                                const PartQuarantineOptions &options, TimePoint now)
 {
-    const PartCase *strongest = nullptr;
-    for (const PartCase &accused : cases) {
-        if (!hasEnoughEvidence(accused, options, now))
+    const PartStatistics *best = nullptr;
+    for (const PartStatistics &candidate : parts) {
+        if (!hasEnoughEvidence(candidate, options, now))
             continue;
-        const bool isStronger = !strongest || accused.endCount > strongest->endCount
-                                || (accused.endCount == strongest->endCount
-                                    && accused.suspects.size() < strongest->suspects.size());
-        const bool isDisputed = std::any_of(cases.begin(), cases.end(), [&](const PartCase &other) {
-            return isRival(accused, other, options, now);
-        });
-        if (isStronger && !isDisputed)
-            strongest = &accused;
+        const bool isBetter = !best || candidate.endCount > best->endCount
+                              || (candidate.endCount == best->endCount
+                                  && candidate.suspects.size() < best->suspects.size());
+        const bool hasAlternative =
+                std::any_of(parts.begin(), parts.end(), [&](const PartStatistics &other) {
+                    return isAlternativeCause(candidate, other, options, now);
+                });
+        if (isBetter && !hasAlternative)
+            best = &candidate;
     }
-    return strongest;
+    return best;
 }
 
-// Returns the parts that all suspect requests have in common with the accused one, and that no
+// Returns the parts that all suspect requests have in common with the candidate, and that no
 // other request has.
-PartSet inseparableParts(std::span<const PartCase> cases, const PartCase &accused)
+PartSet inseparableParts(std::span<const PartStatistics> parts, const PartStatistics &candidate)
 {
-    PartSet parts;
-    for (const PartCase &partCase : cases) {
-        if (partCase.suspects == accused.suspects)
-            parts.push_back(partCase.part);
+    PartSet inseparable;
+    for (const PartStatistics &other : parts) {
+        if (other.suspects == candidate.suspects)
+            inseparable.push_back(other.part);
     }
-    return parts;
+    return inseparable;
 }
 
 // Removes released verdicts first, and the oldest of them.
@@ -475,23 +476,23 @@
     });
 }
 
-PartEvidence judgeParts(PartQuarantine &quarantine, TimePoint now)
+PartEvidence evaluateParts(PartQuarantine &quarantine, TimePoint now)
 {
     PartEvidence evidence;
     for (std::size_t i = 0; i < quarantine.options.maxVerdicts; ++i) {
-        const std::vector<PartCase> cases = collectCases(quarantine);
-        const PartCase *accused = findUndisputedCase(cases, quarantine.options, now);
-        if (!accused)
+        const std::vector<PartStatistics> parts = collectStatistics(quarantine);
+        const PartStatistics *candidate = findCause(parts, quarantine.options, now);
+        if (!candidate)
             break;
-        const PartSet parts = inseparableParts(cases, *accused);
-        PartVerdict &verdict = quarantine.verdicts[parts];
-        verdict.lastEndAt = accused->lastEndAt;
+        const PartSet set = inseparableParts(parts, *candidate);
+        PartVerdict &verdict = quarantine.verdicts[set];
+        verdict.lastEndAt = candidate->lastEndAt;
         verdict.releasedAt.reset();
-        verdict.ends = static_cast<std::uint32_t>(accused->ends.size());
-        verdict.requests = static_cast<std::uint32_t>(accused->requests.size());
-        verdict.hadAnswer = accused->hasKnownAnswer;
+        verdict.ends = static_cast<std::uint32_t>(candidate->ends.size());
+        verdict.requests = static_cast<std::uint32_t>(candidate->requests.size());
+        verdict.hadAnswer = candidate->hasKnownAnswer;
         verdict.nextTrialAt = verdict.lastEndAt + trialDelay(quarantine.options, verdict.trials);
-        evidence.verdicts.push_back(toEvidence(parts, verdict, now));
+        evidence.verdicts.push_back(toEvidence(set, verdict, now));
         limitVerdicts(quarantine);
     }
     return evidence;
--- a/src/libfleet/partquarantine.h
+++ b/src/libfleet/partquarantine.h
@@ -28,8 +28,8 @@
     std::uint32_t requestsAfterAnswer = 2;
     // Engines that end within this time count once, since a common cause ends several at a time.
     Duration concurrentEndWindow = std::chrono::milliseconds(50);
-    // A part is judged this long after its last end, so that the other entries can report answers
-    // and suspects.
+    // A part is evaluated this long after its last end, so that the other entries can report
+    // answers and suspects.
     Duration settlingTime = std::chrono::milliseconds(60);
     Duration endRetention = std::chrono::minutes(2);
     // Time from the last end until a request tries the quarantined parts again. Each trial that
@@ -169,11 +169,11 @@
 PartEvidence reportAnswerHistory(PartQuarantine &quarantine,
                                  std::span<const PartEvidence::End> ends, TimePoint now);
 
-// Returns whether an engine ended so recently that judgeParts() must wait or has just waited.
+// Returns whether an engine ended so recently that evaluateParts() must wait or has just waited.
 bool hasUnsettledEnd(const PartQuarantine &quarantine, TimePoint now);
 
 // Quarantines parts that explain the ends of engines. Returns the evidence of the new verdicts.
-PartEvidence judgeParts(PartQuarantine &quarantine, TimePoint now);
+PartEvidence evaluateParts(PartQuarantine &quarantine, TimePoint now);
 
 // Returns everything a process that has just started needs to know.
 PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now);
--- a/src/libfleet/promptparts.h
+++ b/src/libfleet/promptparts.h
@@ -20,7 +20,7 @@
     bool operator==(const PromptPart &) const = default;
 };
 
-// Largest number of shared parts of a request that are judged.
+// Largest number of shared parts of a request that are evaluated.
 constexpr std::size_t MaxSharedParts = 32;
 
 // Returns the sorted ids of the parts that other requests may share: all but the last, and at most
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -50,7 +50,7 @@
 // Stalls that occur within this time are reported together.
 constexpr auto StallReportDelay = std::chrono::milliseconds(100);
 
-// Evidence about parts of prompts that arrives within this time is judged and sent together.
+// Evidence about parts of prompts that arrives within this time is evaluated and sent together.
 constexpr auto EvidenceDelay = std::chrono::milliseconds(4);
 
 constexpr std::size_t CallerInputCapacity = 256 * 1024;
@@ -344,7 +344,7 @@
 
 void EntryProcess::sendEvidence()
 {
-    judgeEvidence(state_);
+    evaluateEvidence(state_);
     EndpointUpdate update;
     update.partEvidence = std::exchange(state_.pendingEvidence, {});
     if (update.partEvidence.isEmpty())
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -58,7 +58,7 @@
     // Reports `stalledAt` to the control VMs without waiting for the next hello.
     std::function<void()> sendStallReport;
 
-    // Judges and sends new evidence after a short delay.
+    // Evaluates and sends new evidence after a short delay.
     std::function<void()> scheduleEvidence;
 
     std::size_t activeRequests = 0;
--- a/src/libgateway/entryquarantine.cpp
+++ b/src/libgateway/entryquarantine.cpp
@@ -52,9 +52,9 @@
     state.scheduleEvidence();
 }
 
-void judgeEvidence(EntryState &state)
+void evaluateEvidence(EntryState &state)
 {
-    PartEvidence verdicts = judgeParts(state.quarantine, RuntimeClock::now());
+    PartEvidence verdicts = evaluateParts(state.quarantine, RuntimeClock::now());
     if (verdicts.isEmpty())
         return;
     appendEvidence(state.pendingEvidence, std::move(verdicts));
--- a/src/libgateway/entryquarantine.h
+++ b/src/libgateway/entryquarantine.h
@@ -9,11 +9,11 @@
 // Merges evidence that a control VM passed on.
 void applyEvidence(EntryState &state, const PartEvidence &evidence);
 
-// Adds evidence of this entry and schedules that it is judged and sent.
+// Adds evidence of this entry and schedules that it is evaluated and sent.
 void addEvidence(EntryState &state, PartEvidence &&evidence);
 
-// Judges all evidence that is known and adds new verdicts to the evidence to send.
-void judgeEvidence(EntryState &state);
+// Evaluates all evidence that is known and adds new verdicts to the evidence to send.
+void evaluateEvidence(EntryState &state);
 
 // Logs verdicts that came into force or ended. New ones wake up the sessions, so that they withdraw
 // their requests.
--- a/tests/test_partquarantine.cpp
+++ b/tests/test_partquarantine.cpp
@@ -44,7 +44,7 @@
     recordBegunAnswer(quarantine, PartSet{Beginning}, Start + milliseconds(50));
     endEngine(quarantine, 2, 2, {{Beginning, Bad}}, Start + milliseconds(300));
     recordBegunAnswer(quarantine, PartSet{Beginning}, Start + milliseconds(350));
-    judgeParts(quarantine, Start + milliseconds(400));
+    evaluateParts(quarantine, Start + milliseconds(400));
     return quarantine;
 }
 
@@ -66,13 +66,13 @@
     BOOST_CHECK(!isRefused(quarantine, {}));
 }
 
-// An engine that is lost alone takes requests with it that are not to blame.
+// An engine that is lost alone takes requests with it that are not the cause.
 BOOST_AUTO_TEST_CASE(one_end_quarantines_a_part)
 {
     PartQuarantine quarantine;
     endEngine(quarantine, 1, 1, {{Beginning}, {Sound}}, Start);
     endEngine(quarantine, 1, 9, {{Beginning}, {Sound}}, Start + milliseconds(3));
-    BOOST_CHECK(judgeParts(quarantine, Start + seconds(1)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(1)).isEmpty());
 }
 
 // A failure domain that is lost ends several engines with the same popular part.
@@ -82,7 +82,7 @@
     for (IncarnationKey engine = 1; engine <= 7; ++engine)
         endEngine(quarantine, engine, 10 * engine, {{Beginning}, {Beginning, Sound}},
                   Start + milliseconds(engine * 2));
-    BOOST_CHECK(judgeParts(quarantine, Start + seconds(1)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(1)).isEmpty());
 }
 
 BOOST_AUTO_TEST_CASE(an_answered_part_is_quarantined_for_ends_before_its_answer)
@@ -93,7 +93,7 @@
     endEngine(quarantine, 2, 2, {{Sound}}, Start + seconds(2));
     recordBegunAnswer(quarantine, PartSet{Sound}, Start + seconds(3));
     endEngine(quarantine, 3, 3, {{Sound}}, Start + seconds(4));
-    BOOST_CHECK(judgeParts(quarantine, Start + seconds(5)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(5)).isEmpty());
 }
 
 // One request that is sent on twice stands at two ends by chance.
@@ -103,7 +103,7 @@
     recordBegunAnswer(quarantine, PartSet{Sound}, Start - seconds(5));
     for (IncarnationKey engine = 1; engine <= 4; ++engine)
         endEngine(quarantine, engine, 1, {{Sound}}, Start + milliseconds(200 * engine));
-    BOOST_CHECK(judgeParts(quarantine, Start + seconds(2)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(2)).isEmpty());
 }
 
 BOOST_AUTO_TEST_CASE(a_part_that_turns_bad_after_answers_is_never_quarantined)
@@ -116,25 +116,25 @@
                   Start + milliseconds(300 * engine));
         recordBegunAnswer(quarantine, PartSet{Beginning}, Start + milliseconds(300 * engine + 50));
     }
-    judgeParts(quarantine, Start + seconds(2));
+    evaluateParts(quarantine, Start + seconds(2));
     BOOST_CHECK(isRefused(quarantine, {Bad}));
     BOOST_CHECK(!isRefused(quarantine, {Beginning}));
 }
 
 // Another entry may have answers of the part and needs a moment to say so.
-BOOST_AUTO_TEST_CASE(a_part_is_judged_before_other_entries_report_answers)
+BOOST_AUTO_TEST_CASE(a_part_is_evaluated_before_other_entries_report_answers)
 {
     PartQuarantine quarantine;
     endEngine(quarantine, 1, 1, {{Sound}}, Start);
     endEngine(quarantine, 2, 1, {{Sound}}, Start + milliseconds(300));
     const TimePoint now = Start + milliseconds(310);
-    BOOST_CHECK(judgeParts(quarantine, now).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, now).isEmpty());
     PartEvidence report;
     report.answers = {{Sound, 900}};
     PartQuarantine informed = quarantine;
     mergeEvidence(informed, report, now);
-    BOOST_CHECK(judgeParts(informed, Start + milliseconds(400)).isEmpty());
-    BOOST_CHECK(!judgeParts(quarantine, Start + milliseconds(400)).isEmpty());
+    BOOST_CHECK(evaluateParts(informed, Start + milliseconds(400)).isEmpty());
+    BOOST_CHECK(!evaluateParts(quarantine, Start + milliseconds(400)).isEmpty());
 }
 
 // Two requests were at the same two ends. Which of them ended the engines shows at the third.
@@ -143,9 +143,9 @@
     PartQuarantine quarantine;
     endEngine(quarantine, 1, 1, {{Bad}, {Sound}}, Start);
     endEngine(quarantine, 2, 1, {{Bad}, {Sound}}, Start + milliseconds(300));
-    BOOST_CHECK(judgeParts(quarantine, Start + milliseconds(400)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + milliseconds(400)).isEmpty());
     endEngine(quarantine, 3, 3, {{Bad}}, Start + milliseconds(600));
-    judgeParts(quarantine, Start + milliseconds(700));
+    evaluateParts(quarantine, Start + milliseconds(700));
     BOOST_CHECK(isRefused(quarantine, {Bad}));
     BOOST_CHECK(!isRefused(quarantine, {Sound}));
 }
@@ -156,7 +156,7 @@
     PartQuarantine quarantine;
     endEngine(quarantine, 1, 1, {{Beginning, Bad}}, Start);
     endEngine(quarantine, 2, 2, {{Beginning, Bad}}, Start + milliseconds(300));
-    judgeParts(quarantine, Start + milliseconds(400));
+    evaluateParts(quarantine, Start + milliseconds(400));
     BOOST_CHECK(isRefused(quarantine, {Beginning, Bad}));
     BOOST_CHECK(!isRefused(quarantine, {Beginning}));
     BOOST_CHECK(!isRefused(quarantine, {Beginning, Sound}));
@@ -171,7 +171,7 @@
         const TimePoint at = Start + milliseconds(400 * engine);
         endEngine(quarantine, 2 * engine, 10 * engine, {{Bad}}, at);
         endEngine(quarantine, 2 * engine + 1, 10 * engine + 1, {{otherBad}}, at + milliseconds(99));
-        judgeParts(quarantine, at + milliseconds(199));
+        evaluateParts(quarantine, at + milliseconds(199));
     }
     BOOST_CHECK(isRefused(quarantine, {Bad}));
     BOOST_CHECK(isRefused(quarantine, {otherBad}));
@@ -179,17 +179,17 @@
 
 // An end that a quarantined part explains is no evidence against the others there, also not after
 // the part was released.
-BOOST_AUTO_TEST_CASE(ends_of_a_released_part_are_blamed_on_its_company)
+BOOST_AUTO_TEST_CASE(ends_of_a_released_part_quarantine_its_company)
 {
     PartQuarantine quarantine;
     for (IncarnationKey engine = 1; engine <= 3; ++engine)
         endEngine(quarantine, engine, engine, {{Bad}, {Sound}}, Start + milliseconds(300 * engine));
     endEngine(quarantine, 4, 4, {{Bad}}, Start + seconds(2));
-    judgeParts(quarantine, Start + seconds(3));
+    evaluateParts(quarantine, Start + seconds(3));
     BOOST_REQUIRE(isRefused(quarantine, {Bad}));
     recordBegunAnswer(quarantine, PartSet{Bad}, Start + seconds(40));
     BOOST_CHECK(!isRefused(quarantine, {Bad}));
-    BOOST_CHECK(judgeParts(quarantine, Start + seconds(40)).isEmpty());
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(40)).isEmpty());
 }
 
 BOOST_AUTO_TEST_CASE(a_released_part_that_ends_engines_again_is_not_quarantined)
@@ -203,7 +203,7 @@
         recordBegunAnswer(quarantine, PartSet{Beginning},
                           Start + seconds(60) + milliseconds(engine * 300 + 50));
     }
-    judgeParts(quarantine, Start + seconds(70));
+    evaluateParts(quarantine, Start + seconds(70));
     BOOST_CHECK(isRefused(quarantine, {Bad}));
 }
 
@@ -228,7 +228,7 @@
             continue;
         trialSeconds.push_back(second);
         recordEngineEnd(quarantine, 100 + second, {9, set}, now + milliseconds(200));
-        judgeParts(quarantine, now + milliseconds(200));
+        evaluateParts(quarantine, now + milliseconds(200));
         removeExpiredEvidence(quarantine, now + milliseconds(200));
     }
     BOOST_REQUIRE(isRefused(quarantine, set));
@@ -244,7 +244,7 @@
     PartQuarantine quarantine = makeQuarantineWithVerdict();
     endEngine(quarantine, 21, 21, {{otherBad}}, Start + seconds(20));
     endEngine(quarantine, 22, 22, {{otherBad}}, Start + seconds(21));
-    judgeParts(quarantine, Start + seconds(22));
+    evaluateParts(quarantine, Start + seconds(22));
     const PartSet both{Bad, otherBad};
     BOOST_CHECK(!tryBeginTrial(quarantine, both, Start + seconds(32)));
     BOOST_CHECK(tryBeginTrial(quarantine, both, Start + seconds(52)));
@@ -287,7 +287,7 @@
     recordBegunAnswer(quarantine, PartSet{Bad}, Start + seconds(31));
     // The ages in the message do not grow on its way.
     mergeEvidence(quarantine, old, Start + seconds(31) + milliseconds(200));
-    judgeParts(quarantine, Start + seconds(32));
+    evaluateParts(quarantine, Start + seconds(32));
     BOOST_CHECK(!isRefused(quarantine, {Bad}));
 }
 
@@ -305,14 +305,14 @@
 }
 
 // The newest verdict is not kept when the limit is reached by later ends.
-BOOST_AUTO_TEST_CASE(judging_never_ends_when_all_verdicts_are_in_use)
+BOOST_AUTO_TEST_CASE(evaluation_never_ends_when_all_verdicts_are_in_use)
 {
     PartQuarantine quarantine;
     quarantine.options.maxVerdicts = 2;
     for (IncarnationKey engine = 0; engine < 12; ++engine)
         endEngine(quarantine, engine, engine, {{10 + engine / 2}},
                   Start + milliseconds(200 * (24 - engine)));
-    judgeParts(quarantine, Start + seconds(10));
+    evaluateParts(quarantine, Start + seconds(10));
     BOOST_CHECK_EQUAL(activeVerdictCount(quarantine), 2);
 }
 
@@ -508,7 +508,7 @@
 
     void publish(std::size_t from, PartEvidence evidence)
     {
-        appendEvidence(evidence, judgeParts(entries_[from], now_));
+        appendEvidence(evidence, evaluateParts(entries_[from], now_));
         if (evidence.isEmpty())
             return;
         mergeEvidence(control_, evidence, now_);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -9,7 +9,7 @@
 
 #include <limits>
 
-// Tests the relay between a caller and scripted endpoints over loopback. Most cases send one
+// Tests the relay between a caller and scripted endpoints over loopback. Most parts send one
 // request.
 
 namespace Trefoil {
@@ -123,7 +123,7 @@
         listen(second);
         listen(third);
         state.sendStallReport = [] {};
-        state.scheduleEvidence = [this] { judgeEvidence(state); };
+        state.scheduleEvidence = [this] { evaluateEvidence(state); };
         entryListener = std::make_unique<ChannelListener>(
                 context, loopbackWithFreePort(), InputCapacity, [this](ChannelPointer channel) {
                     asio::co_spawn(context, runRelaySession(state, std::move(channel)),
@@ -526,7 +526,7 @@
     const std::string block(4096, 'a');
     const std::string failureStatus = "HTTP/1.1 502";
     const std::string lastChunk = "\r\n0\r\n\r\n";
-    const UnboundedCase cases[] = {
+    const UnboundedCase parts[] = {
             {"status line without end", RouteKind::NonIdempotent, "", block, failureStatus, ""},
             {"header field without end", RouteKind::NonIdempotent, successHead + "X-A: ", block,
              failureStatus, ""},
@@ -550,7 +550,7 @@
             {"bytes after the response", RouteKind::NonIdempotent, makeSuccess("done"), block,
              "done", ""},
     };
-    for (const UnboundedCase &item : cases) {
+    for (const UnboundedCase &item : parts) {
         BOOST_TEST_CONTEXT(item.name)
         {
             RelayFixture fixture;
@@ -627,7 +627,7 @@
     BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
     BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
     fixture.callerInput.clear();
-    judgeEvidence(fixture.state);
+    evaluateEvidence(fixture.state);
     fixture.exchange(makeStreamRequest("aa:800,bad:400,2:20"), "engines ended");
     BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 503"));
     BOOST_CHECK(contains(fixture.callerInput, "Retry-After: 2"));
@@ -640,7 +640,7 @@
     publishEndingEngines(fixture);
     fixture.exchange(makeStreamRequest("aa:800,bad:400,1:20"), "HTTP/1.1 502");
     fixture.callerInput.clear();
-    judgeEvidence(fixture.state);
+    evaluateEvidence(fixture.state);
     fixture.exchange(makeStreamRequest("aa:800,3:20"), "data: a");
     BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 200"));
     BOOST_CHECK_EQUAL(fixture.third.receivedHeads.size(), 1);
