libgateway: a retry that finds its engine gone is no evidence against its parts

What callers saw: a sound request that lost its engine and was then sent to another engine that had ended before was not repeated once more, and counted as a suspect at an engine that it never reached. Cause: the mark of a lost connection was cleared only after the next connection was open, and the repeat of a suspect request was taken again for an attempt that was never sent. Now the mark is cleared before the connection is opened, and the repeat is taken once.

--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -140,7 +140,7 @@
     // Whether the connection of the last attempt ended before its answer did.
     bool isConnectionLost = false;
 
-    // Whether the last attempt had not begun to answer when its engine ended.
+    // Whether an engine ended before it began to answer, and the request was not repeated since.
     bool isSuspect = false;
 
     // Whether the request tries parts that are quarantined.
@@ -497,6 +497,7 @@
                     && tryTakeRetry(state_.retryBudget, state_.placement.entryCount, now);
             if (!mayRepeat)
                 co_return false;
+            progress.isSuspect = false;
             state_.metrics.incrementCounter("trefoil_repeats_total", "");
         }
         progress.triedEndpoints.insert(placement.endpoint);
@@ -787,6 +788,8 @@
     asio::awaitable<AttemptOutcome> runAttempt(RelayRequest &request, RelayProgress &progress,
                                                const Placement &placement)
     {
+        progress.hasBegun = false;
+        progress.isConnectionLost = false;
         std::string error;
         auto connection = co_await connectEndpoint(request, placement, error);
         if (!connection) {
@@ -804,9 +807,6 @@
         state_.activeRequestsByModel[request.model] += 1;
         connection->channel->setChangeSignal(&signal_);
         ++progress.sendCount;
-        progress.hasBegun = false;
-        progress.isConnectionLost = false;
-        progress.isSuspect = false;
         const bool mayHaveExecutedBefore = progress.mayHaveExecuted;
         progress.mayHaveExecuted = true;
         const std::string text = makeRequestText(request, progress, placement);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -646,6 +646,19 @@
     BOOST_CHECK_EQUAL(fixture.third.receivedHeads.size(), 1);
 }
 
+// The retry meets an engine that ended before and never gets the request.
+BOOST_AUTO_TEST_CASE(request_is_suspected_at_an_engine_that_it_never_reached)
+{
+    RelayFixture fixture;
+    publishEndingEngines(fixture);
+    fixture.second.listener->close();
+    fixture.third.endingPart.clear();
+    fixture.exchange(makeStreamRequest("aa:800,bad:400,1:20"), "data: a");
+    BOOST_CHECK_EQUAL(fixture.third.receivedHeads.size(), 1);
+    BOOST_REQUIRE_EQUAL(fixture.state.quarantine.ends.size(), 1);
+    BOOST_CHECK(fixture.state.quarantine.ends.contains(incarnationKey("e1", 1)));
+}
+
 // Only the connection ends; the engine lives and takes the next one.
 BOOST_AUTO_TEST_CASE(lost_connection_is_mistaken_for_the_end_of_an_engine)
 {
