libgateway: logs name the entry's share of the retry allowance

Cause sought: repeats beyond the retry budget. The logs did not tell which share of the allowance an entry takes, from how many entries, nor what its budget had left.

E509 is written when the share changes, E510 when a request is not repeated for want of budget, with the counts that decided it; trefoil_repeats_denied_total counts them. No decision changes.

--- a/src/libfleet/retrybudget.cpp
+++ b/src/libfleet/retrybudget.cpp
@@ -30,16 +30,24 @@
     budget.requests[budget.currentSlot % WindowedRetryBudget::SlotCount] += 1;
 }
 
-bool tryTakeRetry(WindowedRetryBudget &budget, std::size_t entryCount, TimePoint now)
+RetryBudgetUsage retryBudgetUsage(WindowedRetryBudget &budget, std::size_t entryCount,
+                                  TimePoint now)
 {
     advanceWindow(budget, now);
-    const double requests = std::accumulate(budget.requests.begin(), budget.requests.end(), 0.0);
-    const double retries = std::accumulate(budget.retries.begin(), budget.retries.end(), 0.0);
+    RetryBudgetUsage usage;
+    usage.requests = std::accumulate(budget.requests.begin(), budget.requests.end(), 0.0);
+    usage.retries = std::accumulate(budget.retries.begin(), budget.retries.end(), 0.0);
     const double allowance =
             budget.options.allowance / static_cast<double>(std::max<std::size_t>(entryCount, 1));
-    const double limit =
-            budget.options.usableShare * (budget.options.retriesPerRequest * requests + allowance);
-    if (retries + 1 > limit)
+    usage.limit = budget.options.usableShare
+                  * (budget.options.retriesPerRequest * usage.requests + allowance);
+    return usage;
+}
+
+bool tryTakeRetry(WindowedRetryBudget &budget, std::size_t entryCount, TimePoint now)
+{
+    const RetryBudgetUsage usage = retryBudgetUsage(budget, entryCount, now);
+    if (usage.retries + 1 > usage.limit)
         return false;
     budget.retries[budget.currentSlot % WindowedRetryBudget::SlotCount] += 1;
     return true;
--- a/src/libfleet/retrybudget.h
+++ b/src/libfleet/retrybudget.h
@@ -33,6 +33,17 @@
 // Counts a request that this entry received.
 void recordRequest(WindowedRetryBudget &budget, TimePoint now);
 
+// Fill of a budget at a moment.
+struct RetryBudgetUsage
+{
+    double requests = 0; // received in the window
+    double retries = 0;  // taken in the window
+    double limit = 0;    // retries that may be taken in the window
+};
+
+RetryBudgetUsage retryBudgetUsage(WindowedRetryBudget &budget, std::size_t entryCount,
+                                  TimePoint now);
+
 // Takes one retry out of the budget. Returns false when none is left. `entryCount` is the number of
 // entries that share the allowance.
 bool tryTakeRetry(WindowedRetryBudget &budget, std::size_t entryCount, TimePoint now);
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -372,7 +372,19 @@
             }
         }
     }
-    state_.placement.entryCount = peerEntries_.size() + 1;
+    const std::size_t entryCount = peerEntries_.size() + 1;
+    if (entryCount != state_.placement.entryCount) {
+        const auto linkCount =
+                std::count_if(controlLinks_.peers().begin(), controlLinks_.peers().end(),
+                              [](const auto &item) { return item.second.link != nullptr; });
+        logEvent(Event::RetryShareChanged,
+                 {{"entries", std::to_string(entryCount)},
+                  {"entries_before", std::to_string(state_.placement.entryCount)},
+                  {"control_links", std::to_string(linkCount)},
+                  {"allowance", std::to_string(state_.settings.retryBudget.allowance
+                                               / static_cast<double>(entryCount))}});
+    }
+    state_.placement.entryCount = entryCount;
     state_.placement.peerLoadAge = digestInterval();
 }
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -493,9 +493,8 @@
             const bool mayRepeat =
                     progress.sendCount < request.route->maxAttempts
                     && (!progress.isSuspect
-                        || tryTakeRepeatAfterEnd(state_.quarantine, request.sharedParts, now))
-                    && tryTakeRetry(state_.retryBudget, state_.placement.entryCount, now);
-            if (!mayRepeat)
+                        || tryTakeRepeatAfterEnd(state_.quarantine, request.sharedParts, now));
+            if (!mayRepeat || !takeRetry(request, now))
                 co_return false;
             progress.isSuspect = false;
             state_.metrics.incrementCounter("trefoil_repeats_total", "");
@@ -509,6 +508,23 @@
         co_return mayRetry(request, progress);
     }
 
+    // Takes a retry out of the budget of the entry. Returns false when none is left.
+    bool takeRetry(const RelayRequest &request, TimePoint now)
+    {
+        const std::size_t entryCount = state_.placement.entryCount;
+        if (tryTakeRetry(state_.retryBudget, entryCount, now))
+            return true;
+        const RetryBudgetUsage usage = retryBudgetUsage(state_.retryBudget, entryCount, now);
+        state_.metrics.incrementCounter("trefoil_repeats_denied_total", "");
+        logEvent(Event::RetryDenied, {{"id", request.id},
+                                      {"service", request.service},
+                                      {"requests", std::to_string(usage.requests)},
+                                      {"retries", std::to_string(usage.retries)},
+                                      {"limit", std::to_string(usage.limit)},
+                                      {"entries", std::to_string(entryCount)}});
+        return false;
+    }
+
     // Returns whether the request is refused because its parts end engines.
     bool isRefusedByParts(const RelayRequest &request, RelayProgress &progress, TimePoint now)
     {
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -47,6 +47,8 @@
         {Event::PartsQuarantined, Warning, "requests with a part of a prompt are refused"},
         {Event::PartsReleased, Info, "requests with a part of a prompt are no longer refused"},
         {Event::PartsTried, Info, "a request with a refused part of a prompt is tried"},
+        {Event::RetryShareChanged, Info, "the entry's share of the retry allowance changed"},
+        {Event::RetryDenied, Info, "a request is not repeated, the retry budget is used up"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -43,6 +43,8 @@
     PartsQuarantined = 506,
     PartsReleased = 507,
     PartsTried = 508,
+    RetryShareChanged = 509,
+    RetryDenied = 510,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
