--- /dev/null
+++ b/src/libgateway/relayattempt.cpp
@@ -0,0 +1,312 @@
+#include "libgateway/relayattempt.h"
+
+#include "libgateway/engineends.h"
+#include "libgateway/entryquarantine.h"
+#include "libgateway/responserelay.h"
+#include "libruntime/clock.h"
+#include "libruntime/events.h"
+
+#include <algorithm>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto EndpointConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto RequestWriteTimeout = std::chrono::seconds(2);
+
+// Engines get priorities above this value as this value.
+constexpr std::uint32_t LowestEnginePriority = 4;
+
+// Takes a retry out of the budget of the entry. Returns false when none is left.
+bool takeRetry(RelayContext &context, const RelayRequest &request, TimePoint now)
+{
+    const std::size_t entryCount = context.state.placement.entryCount;
+    if (tryTakeRetry(context.state.retryBudget, entryCount, now))
+        return true;
+    const RetryBudgetUsage usage = retryBudgetUsage(context.state.retryBudget, entryCount, now);
+    context.state.metrics.incrementCounter("trefoil_repeats_denied_total", "");
+    logEvent(Event::RetryDenied, {{"id", request.id},
+                                  {"service", request.service},
+                                  {"requests", std::to_string(usage.requests)},
+                                  {"retries", std::to_string(usage.retries)},
+                                  {"limit", std::to_string(usage.limit)},
+                                  {"entries", std::to_string(entryCount)}});
+    return false;
+}
+
+// Returns whether the request is refused because its parts end engines.
+bool isRefusedByParts(RelayContext &context, const RelayRequest &request, RelayProgress &progress,
+                      TimePoint now)
+{
+    const auto verdict = findRefusal(context.state, request.sharedParts, progress.isTrial);
+    if (!verdict)
+        return false;
+    progress.isQuarantined = true;
+    progress.lastReason =
+            "engines ended with the part " + toText(verdict->parts) + " of the prompt";
+    progress.retryAfter = std::max(verdict->verdict.nextTrialAt - now, Duration::zero());
+    context.state.metrics.incrementCounter("trefoil_quarantine_refusals_total", "");
+    return true;
+}
+
+Placement placeNextAttempt(RelayContext &context, const RelayRequest &request,
+                           const RelayProgress &progress, TimePoint now)
+{
+    return placeRequest(context.state.placement, makePlacementRequest(request, progress, now), now);
+}
+
+bool mayRetry(const RelayRequest &request, const RelayProgress &progress)
+{
+    switch (progress.lastOutcome) {
+    case AttemptOutcome::NotExecuted:
+        return true;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Unknown:
+    case AttemptOutcome::EndpointStalled:
+    case AttemptOutcome::RequestStalled:
+        return isRepeatable(*request.route);
+    case AttemptOutcome::Withdrawn:
+    case AttemptOutcome::Answered:
+    case AttemptOutcome::TimedOut:
+    case AttemptOutcome::CallerDisconnected:
+        return false;
+    }
+    return false;
+}
+
+// Reports to the leader that the endpoint is stalled.
+void reportStall(RelayContext &context, const EndpointId &endpoint, TimePoint now)
+{
+    context.state.stalledAt[endpoint] = now;
+    context.state.sendStallReport();
+}
+
+void recordAttemptOutcome(RelayContext &context, const RelayRequest &request,
+                          RelayProgress &progress, const Placement &placement)
+{
+    const TimePoint now = RuntimeClock::now();
+    switch (progress.lastOutcome) {
+    case AttemptOutcome::Answered:
+        recordAttempt(context.state.placement, placement.endpoint, EndpointResult::Served,
+                      now - request.arrivedAt, now);
+        return;
+    case AttemptOutcome::EndpointStalled:
+        ejectEndpoint(context.state.placement, placement.endpoint, now);
+        reportStall(context, placement.endpoint, now);
+        logEvent(Event::EndpointEjected, {{"endpoint", placement.endpoint},
+                                          {"id", request.id},
+                                          {"reason", progress.lastReason}});
+        break;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::RequestStalled:
+    case AttemptOutcome::Unknown:
+        recordAttempt(context.state.placement, placement.endpoint, EndpointResult::Failed, {}, now);
+        break;
+    default:
+        break;
+    }
+    if (progress.lastOutcome == AttemptOutcome::CallerDisconnected)
+        return;
+    logEvent(Event::AttemptFailed, {{"id", request.id},
+                                    {"endpoint", placement.endpoint},
+                                    {"end", std::string(toString(progress.lastOutcome))},
+                                    {"reason", progress.lastReason},
+                                    {"begun", progress.hasBegun ? "yes" : "no"},
+                                    {"parts", toText(request.sharedParts)},
+                                    {"elapsed_ms", millisecondsText(now - request.arrivedAt)}});
+}
+
+// Finds out whether the engine ended or only the connection to it.
+asio::awaitable<void> checkEngine(RelayContext &context, const RelayRequest &request,
+                                  RelayProgress &progress, const Placement &placement)
+{
+    const bool hasEnded = co_await hasEngineEnded(context.state, placement);
+    if (!hasEnded)
+        co_return;
+    progress.isSuspect = !progress.hasBegun;
+    if (progress.isSuspect)
+        addEvidence(context.state,
+                    recordEngineEnd(context.state.quarantine,
+                                    incarnationKey(placement.endpoint, placement.startedAtMs),
+                                    {request.contentKey, request.sharedParts},
+                                    RuntimeClock::now()));
+    context.state.metrics.incrementCounter("trefoil_requests_at_engine_end_total", "");
+    logEvent(Event::EngineEnded,
+             {{"endpoint", placement.endpoint},
+              {"id", request.id},
+              {"workspace", request.workspace ? request.workspace->name : std::string()},
+              {"begun", progress.hasBegun ? "yes" : "no"},
+              {"parts", toText(request.sharedParts)}});
+}
+
+// Takes an idle connection or opens a new one. Returns nothing and sets `error` on failure.
+asio::awaitable<std::optional<EndpointConnection>> connectEndpoint(RelayContext &context,
+                                                                   const RelayRequest &request,
+                                                                   const Placement &placement,
+                                                                   std::string &error)
+{
+    const TimePoint now = RuntimeClock::now();
+    auto idle =
+            context.state.connectionPool.takeIdle(placement.endpoint, placement.startedAtMs, now);
+    if (idle)
+        co_return idle;
+    context.state.metrics.incrementCounter("trefoil_endpoint_connections_total", "");
+    const Duration timeout = std::min<Duration>(EndpointConnectTimeout, request.deadline - now);
+    ChannelPointer channel =
+            co_await connectChannel(placement.address, timeout, ResponseInputCapacity, error);
+    if (!channel)
+        co_return std::nullopt;
+    EndpointConnection connection;
+    connection.channel = std::move(channel);
+    connection.address = placement.address;
+    connection.endpoint = placement.endpoint;
+    connection.startedAtMs = placement.startedAtMs;
+    co_return connection;
+}
+
+// Returns the priority for the engine, which admits lower values first. The priority of the
+// workspace or route decides; among equals, requests that can still meet the target latency go
+// before late ones.
+std::uint32_t enginePriority(const RelayRequest &request)
+{
+    const std::uint32_t priority = request.workspace && request.workspace->priority
+                                           ? *request.workspace->priority
+                                           : request.route->priority;
+    const bool isLate = RuntimeClock::now() >= request.targetDeadline;
+    return 2 * std::min(priority, LowestEnginePriority) + (isLate ? 1 : 0);
+}
+
+// Encodes the request for the endpoint. The caller's key and hop-by-hop fields are left out,
+// and the fields that the entry sets are replaced.
+std::string makeRequestText(const RelayContext &context, const RelayRequest &request,
+                            const RelayProgress &progress, const Placement &placement)
+{
+    const HeaderNames &headerNames = context.state.dialect.headers;
+    const bool isResumption = progress.isResponseHeadSent;
+    HttpHead head;
+    head.method = request.head.method;
+    head.target = request.head.target;
+    for (const HttpField &field : request.head.fields) {
+        const auto hasName = [&field](std::string_view name) {
+            return equalsIgnoringCase(field.name, name);
+        };
+        const bool isKey = hasName("authorization") && request.config->requiresKeys;
+        const bool isSetByEntry =
+                hasName(headerNames.timeLeft) || hasName(headerNames.expectEndpoint)
+                || hasName(headerNames.workspace) || hasName(headerNames.priority)
+                || hasName("expect") || (isResumption && hasName(headerNames.lastEventId));
+        if (!isKey && !isSetByEntry && !isHopByHopField(request.head, field.name))
+            head.fields.push_back(field);
+    }
+    const Duration remaining = std::max(request.deadline - RuntimeClock::now(),
+                                        Duration(std::chrono::milliseconds(1)));
+    head.fields.push_back({headerNames.timeLeft, millisecondsText(remaining)});
+    head.fields.push_back({headerNames.expectEndpoint, placement.endpoint});
+    if (request.route->kind == RouteKind::Stream)
+        head.fields.push_back({headerNames.priority, std::to_string(enginePriority(request))});
+    if (request.workspace)
+        head.fields.push_back({headerNames.workspace, request.workspace->name});
+    if (isResumption && progress.eventFilter.lastEventId)
+        head.fields.push_back(
+                {headerNames.lastEventId, std::to_string(*progress.eventFilter.lastEventId)});
+    const bool hasBodyHeader = findField(request.head, "content-length")
+                               || findField(request.head, "transfer-encoding");
+    if (hasBodyHeader || !request.body.empty())
+        head.fields.push_back({"Content-Length", std::to_string(request.body.size())});
+    return toText(head) + request.body;
+}
+
+asio::awaitable<AttemptOutcome> runAttempt(RelayContext &context, RelayRequest &request,
+                                           RelayProgress &progress, const Placement &placement)
+{
+    progress.hasBegun = false;
+    progress.isConnectionLost = false;
+    std::string error;
+    auto connection = co_await connectEndpoint(context, request, placement, error);
+    if (!connection) {
+        progress.lastReason = "cannot connect: " + error;
+        recordAttempt(context.state.placement, placement.endpoint, EndpointResult::Failed, {},
+                      RuntimeClock::now());
+        co_return AttemptOutcome::NotExecuted;
+    }
+    if (context.channel->isEnded()) {
+        context.state.connectionPool.putIdle(std::move(*connection), RuntimeClock::now());
+        co_return AttemptOutcome::CallerDisconnected;
+    }
+    EndpointLoad load{1, request.size.promptTokens};
+    addLoad(context.state.placement, placement.endpoint, load);
+    context.state.activeRequestsByModel[request.model] += 1;
+    connection->channel->setChangeSignal(&context.signal);
+    ++progress.sendCount;
+    const bool mayHaveExecutedBefore = progress.mayHaveExecuted;
+    progress.mayHaveExecuted = true;
+    const std::string text = makeRequestText(context, request, progress, placement);
+    const bool isWritten = co_await connection->channel->write(
+            text, std::min<TimePoint>(request.deadline, RuntimeClock::now() + RequestWriteTimeout));
+    AttemptOutcome outcome = AttemptOutcome::Unknown;
+    if (isWritten)
+        outcome = co_await relayResponse(context, request, progress, placement, *connection, load);
+    else {
+        progress.lastReason = "the request could not be written";
+        progress.isConnectionLost = true;
+    }
+    if (outcome == AttemptOutcome::NotExecuted)
+        progress.mayHaveExecuted = mayHaveExecutedBefore;
+    connection->channel->setChangeSignal(nullptr);
+    if (outcome != AttemptOutcome::Answered && outcome != AttemptOutcome::Failed
+        && outcome != AttemptOutcome::NotExecuted)
+        connection->channel->close();
+    else
+        context.state.connectionPool.putIdle(std::move(*connection), RuntimeClock::now());
+    removeLoad(context.state.placement, placement.endpoint, load);
+    context.state.activeRequestsByModel[request.model] -= 1;
+    co_return outcome;
+}
+
+} // namespace
+
+asio::awaitable<bool> tryNextEndpoint(RelayContext &context, RelayRequest &request,
+                                      RelayProgress &progress)
+{
+    const TimePoint now = RuntimeClock::now();
+    if (now >= request.deadline) {
+        progress.lastOutcome = AttemptOutcome::TimedOut;
+        co_return false;
+    }
+    if (isRefusedByParts(context, request, progress, now))
+        co_return false;
+    const Placement placement = placeNextAttempt(context, request, progress, now);
+    progress.candidateCount = placement.candidateCount;
+    progress.retryAfter = placement.retryAfter;
+    progress.estimate = placement.estimate;
+    if (placement.verdict == PlacementVerdict::NoEndpoint) {
+        progress.lastReason = "no endpoint takes the request";
+        co_return false;
+    }
+    if (placement.verdict == PlacementVerdict::Overloaded) {
+        progress.lastReason = "overloaded";
+        co_return false;
+    }
+    if (progress.sendCount > 0) {
+        const bool mayRepeat =
+                progress.sendCount < request.route->maxAttempts
+                && (!progress.isSuspect
+                    || tryTakeRepeatAfterEnd(context.state.quarantine, request.sharedParts, now));
+        if (!mayRepeat || !takeRetry(context, request, now))
+            co_return false;
+        progress.isSuspect = false;
+        context.state.metrics.incrementCounter("trefoil_repeats_total", "");
+    }
+    progress.triedEndpoints.insert(placement.endpoint);
+    progress.lastEndpoint = placement.endpoint;
+    progress.lastOutcome = co_await runAttempt(context, request, progress, placement);
+    recordAttemptOutcome(context, request, progress, placement);
+    if (progress.isConnectionLost)
+        co_await checkEngine(context, request, progress, placement);
+    co_return mayRetry(request, progress);
+}
+
+} // namespace Trefoil
