libfleet, libgateway: retries come from token buckets that only requests fill

Cause: each entry counted its retries in a window of its own memory and took its part of the allowance from it. A process that started again had spent nothing as far as it knew, and divided the allowance by the entries that were linked at that moment, itself alone at first. The sum over the fleet was bounded only while no entry restarted or lost touch. One budget stood for all services, where each has its own.

Change: the budget is a token bucket for each service that starts empty and is filled by requests alone; what it may hold is the entry's part of the allowance and a part of what its requests in the window before earned. The sum over entries is then bounded in every window by the requests of the two windows, whatever restarts and without any message. The number of entries comes from a roster that keeps names for 10 minutes; control VMs name the entries that they remember (Topology), so a cut does not enlarge a share.

Evidence: test_retrybudget, run on the code before, exceeded the budget by 257 (restarts), 1,446 (cuts), 175 (bursts at both ends of a window) and in random fleets; now by none.

retries_do_not_exceed_the_budget_of_a_window asked for the old arithmetic (the whole window at once); it now asks for fewer retries and for none until new requests come.

--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -7,6 +7,7 @@
 #include "libfleet/dialect.h"
 #include "libfleet/endpoints.h"
 #include "libfleet/enginemodel.h"
+#include "libfleet/entryroster.h"
 #include "libfleet/groupplanner.h"
 #include "libfleet/partquarantine.h"
 #include "libfleet/placement.h"
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -168,6 +168,7 @@
         nextHelloAt_ = now + HelloInterval;
         controlLinks_.broadcastHello();
         broadcastTopology();
+        removeExpiredEntries(roster_, now);
         removeExpiredEndpoints(endpointTable_, EndpointRetention, now);
         removeExpiredEvidence(quarantine_, now);
         flushStructuredLog();
@@ -219,6 +220,7 @@
     } else if (auto *update = std::get_if<EndpointUpdate>(&message)) {
         handleEndpointUpdate(*update);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
+        recordEntries(roster_, *topology, RuntimeClock::now());
         for (const KnownNode &node : topology->nodes) {
             if (node.kind != NodeKind::Control)
                 continue;
@@ -295,12 +297,22 @@
         if (link->hasHello && now - link->lastReceivedAt < NodeTimeout)
             topology.nodes.push_back(toKnownNode(link->peerHello));
     }
+    for (const auto &[name, seenAt] : roster_.lastSeen) {
+        const bool isConnected =
+                std::any_of(topology.nodes.begin(), topology.nodes.end(),
+                            [&name](const KnownNode &node) { return node.name == name; });
+        if (!isConnected)
+            topology.rememberedEntries.push_back(
+                    {name,
+                     static_cast<std::uint32_t>((now - seenAt) / std::chrono::milliseconds(1))});
+    }
     return topology;
 }
 
 void ControlProcess::broadcastTopology()
 {
     Topology current = makeTopology();
+    recordEntries(roster_, current, RuntimeClock::now());
     if (current.nodes == lastBroadcastTopology_.nodes)
         return;
     lastBroadcastTopology_ = current;
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -114,6 +114,10 @@
     std::map<Link *, LinkPointer> acceptedLinks_;
 
     Topology lastBroadcastTopology_;
+
+    // Entries that are or were connected to a control VM.
+    EntryRoster roster_;
+
     EndpointTable endpointTable_;
 
     // Endpoints that the next update contains.
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -73,14 +73,6 @@
     return placement;
 }
 
-WindowedRetryBudget makeRetryBudget(const GatewaySettings &settings)
-{
-    WindowedRetryBudget budget;
-    budget.options = settings.retryBudget;
-    budget.options.usableShare = WindowedRetryBudgetOptions{}.usableShare;
-    return budget;
-}
-
 } // namespace
 
 EntryState::EntryState(asio::io_context &ioContext, GatewaySettings gatewaySettings)
@@ -88,9 +80,16 @@
     , settings(std::move(gatewaySettings))
     , dialect(*findDialect(settings.dialect))
     , placement(makePlacement(settings))
-    , retryBudget(makeRetryBudget(settings))
 {}
 
+WindowedRetryBudget &retryBudget(EntryState &state, const std::string &service)
+{
+    const auto [budget, isNew] = state.retryBudgets.try_emplace(service);
+    if (isNew)
+        budget->second.options = state.settings.retryBudget;
+    return budget->second;
+}
+
 EntryProcess::EntryProcess(asio::io_context &context, GatewaySettings settings)
     : context_(context)
     , state_(context, std::move(settings))
@@ -204,6 +203,7 @@
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
         state_.connectionPool.closeExpired(now);
         removeExpiredEvidence(state_.quarantine, now);
+        updateRoster(now);
         logVerdictChanges(state_);
         flushStructuredLog();
     }
@@ -227,12 +227,14 @@
                             RuntimeClock::now());
         applyEvidence(state_, update->partEvidence);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
+        recordEntries(state_.roster, *topology, RuntimeClock::now());
         control->knownNodes = std::move(topology->nodes);
         for (const KnownNode &node : control->knownNodes) {
             if (node.kind == NodeKind::Control)
                 controlLinks_.addPeer(node.internalAddress, false);
         }
         updatePeerEntries();
+        updateRoster(RuntimeClock::now());
     } else if (const auto *offer = std::get_if<ConfigurationOffer>(&message)) {
         control->offeredVersion = offer->version;
         requestConfiguration();
@@ -286,6 +288,9 @@
     if (!state_.config)
         removeUnknownServices(state_.placement.table, *decoded.config);
     state_.config = std::make_shared<const ServiceConfiguration>(std::move(*decoded.config));
+    std::erase_if(state_.retryBudgets, [this](const auto &item) {
+        return findService(*state_.config, item.first) == nullptr;
+    });
     nextConfigurationAt_ =
             RuntimeClock::now() + ConfigurationPausePerByte * static_cast<int>(text->size());
     logEvent(Event::ConfigurationApplied,
@@ -372,22 +377,37 @@
             }
         }
     }
-    const std::size_t entryCount = peerEntries_.size() + 1;
-    if (entryCount != state_.placement.entryCount) {
-        const auto linkCount =
-                std::count_if(controlLinks_.peers().begin(), controlLinks_.peers().end(),
-                              [](const auto &item) { return item.second.link != nullptr; });
-        logEvent(Event::RetryShareChanged,
-                 {{"entries", std::to_string(entryCount)},
-                  {"entries_before", std::to_string(state_.placement.entryCount)},
-                  {"control_links", std::to_string(linkCount)},
-                  {"allowance", std::to_string(state_.settings.retryBudget.allowance
-                                               / static_cast<double>(entryCount))}});
-    }
-    state_.placement.entryCount = entryCount;
+    state_.placement.entryCount = peerEntries_.size() + 1;
     state_.placement.peerLoadAge = digestInterval();
 }
 
+void EntryProcess::updateRoster(TimePoint now)
+{
+    std::size_t linkCount = 0;
+    for (const auto &[address, control] : controlLinks_.peers()) {
+        if (!control.link)
+            continue;
+        ++linkCount;
+        for (const KnownNode &node : control.knownNodes) {
+            if (node.kind == NodeKind::Entry)
+                recordEntry(state_.roster, node.name, now);
+        }
+    }
+    removeExpiredEntries(state_.roster, now);
+    const std::size_t count = entryCount(state_.roster);
+    if (count == loggedEntryCount_)
+        return;
+    logEvent(Event::RetryShareChanged,
+             {{"entries", std::to_string(count)},
+              {"entries_before", std::to_string(loggedEntryCount_)},
+              {"connected", std::to_string(peerEntries_.size() + 1)},
+              {"control_links", std::to_string(linkCount)},
+              {"allowance", std::to_string(count == 0 ? 0
+                                                      : state_.settings.retryBudget.allowance
+                                                                / static_cast<double>(count))}});
+    loggedEntryCount_ = count;
+}
+
 Duration EntryProcess::digestInterval() const
 {
     return std::max<Duration>(MinDigestInterval,
@@ -488,6 +508,12 @@
     set("control_links", static_cast<double>(openLinks));
     set("endpoints_usable", static_cast<double>(usableEndpoints));
     set("quarantined_part_sets", static_cast<double>(activeVerdictCount(state_.quarantine)));
+    for (auto &[service, budget] : state_.retryBudgets) {
+        const RetryBudgetUsage usage = retryBudgetUsage(budget, entryCount(state_.roster), now);
+        metrics.setGauge("trefoil_retry_tokens", "service=\"" + service + "\"", usage.tokens);
+        metrics.setGauge("trefoil_retry_token_limit", "service=\"" + service + "\"", usage.limit);
+    }
+    set("roster_entries", static_cast<double>(entryCount(state_.roster)));
     set("configuration_version", state_.config ? static_cast<double>(state_.config->version) : 0);
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.prometheusText();
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -29,7 +29,11 @@
     std::shared_ptr<const ServiceConfiguration> config;
 
     PlacementState placement;
-    WindowedRetryBudget retryBudget;
+
+    // By service.
+    std::map<std::string, WindowedRetryBudget> retryBudgets;
+
+    EntryRoster roster;
     PartQuarantine quarantine;
 
     // Evidence about parts of prompts that has not been sent to the control VMs yet.
@@ -70,6 +74,9 @@
     TimePoint drainingSince{};
 };
 
+// Returns the retry budget of a service, which starts empty.
+WindowedRetryBudget &retryBudget(EntryState &state, const std::string &service);
+
 // Runs one entry, which relays callers' requests to endpoints.
 class EntryProcess
 {
@@ -107,6 +114,9 @@
     void sendDigests(TimePoint now);
     void updatePeerEntries();
 
+    // Keeps the entries that control VMs report in the roster.
+    void updateRoster(TimePoint now);
+
     // Readiness, metrics and the planned stop.
     bool isReady() const;
     boost::asio::awaitable<ServerResponse> handleMetricsRequest(ServerRequest request);
@@ -129,6 +139,9 @@
     // Other entries by name.
     std::map<std::string, boost::asio::ip::udp::endpoint> peerEntries_;
 
+    // Number of entries in the roster that the log named last.
+    std::size_t loggedEntryCount_ = 0;
+
     std::uint64_t digestSequence_ = 0;
     TimePoint nextDigestAt_{};
     TimePoint nextHelloAt_{};
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -95,10 +95,16 @@
             n.isReady, n.leadsInTerm);
 }
 
+template <class Archive>
+void serialize(Archive &archive, Topology::RememberedEntry &e)
+{
+    archive(e.name, e.ageMs);
+}
+
 template <class Archive>
 void serialize(Archive &archive, Topology &t)
 {
-    archive(t.nodes);
+    archive(t.nodes, t.rememberedEntries);
 }
 
 template <class Archive>
@@ -148,6 +154,16 @@
                          std::chrono::milliseconds(heard.ageMs), now);
 }
 
+void recordEntries(EntryRoster &roster, const Topology &topology, TimePoint now)
+{
+    for (const KnownNode &node : topology.nodes) {
+        if (node.kind == NodeKind::Entry)
+            recordEntry(roster, node.name, now);
+    }
+    for (const Topology::RememberedEntry &entry : topology.rememberedEntries)
+        recordEntry(roster, entry.name, now - std::chrono::milliseconds(entry.ageMs));
+}
+
 std::string encodeLinkMessage(const LinkMessage &message)
 {
     return encode(message);
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -114,6 +114,14 @@
 struct Topology
 {
     std::vector<KnownNode> nodes;
+
+    // Entry that the control VM remembers, connected or not.
+    struct RememberedEntry
+    {
+        std::string name;
+        std::uint32_t ageMs = 0; // since it was last connected to a control VM
+    };
+    std::vector<RememberedEntry> rememberedEntries;
 };
 
 // Announces the newest configuration version of a control VM.
@@ -140,6 +148,9 @@
 void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
                          const ServiceConfiguration *config, TimePoint now);
 
+// Records the entries that a control VM is connected to or remembers.
+void recordEntries(EntryRoster &roster, const Topology &topology, TimePoint now);
+
 using LinkMessage = std::variant<LinkHello, RaftEnvelope, EndpointUpdate, Topology,
                                  ConfigurationOffer, ConfigurationRequest, ConfigurationDocument>;
 
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -20,20 +20,22 @@
 // Engines get priorities above this value as this value.
 constexpr std::uint32_t LowestEnginePriority = 4;
 
-// Takes a retry out of the budget of the entry. Returns false when none is left.
+// Takes a retry out of the service's budget. Returns false when none is left.
 bool takeRetry(RelayContext &context, const RelayRequest &request, TimePoint now)
 {
-    const std::size_t entryCount = context.state.placement.entryCount;
-    if (tryTakeRetry(context.state.retryBudget, entryCount, now))
+    EntryState &state = context.state;
+    const std::size_t entries = entryCount(state.roster);
+    WindowedRetryBudget &budget = retryBudget(state, request.service);
+    if (tryTakeRetry(budget, entries, now))
         return true;
-    const RetryBudgetUsage usage = retryBudgetUsage(context.state.retryBudget, entryCount, now);
-    context.state.metrics.incrementCounter("trefoil_repeats_denied_total", "");
+    const RetryBudgetUsage usage = retryBudgetUsage(budget, entries, now);
+    state.metrics.incrementCounter("trefoil_repeats_denied_total", "");
     logEvent(Event::RetryDenied, {{"id", request.id},
                                   {"service", request.service},
                                   {"requests", std::to_string(usage.requests)},
-                                  {"retries", std::to_string(usage.retries)},
+                                  {"tokens", std::to_string(usage.tokens)},
                                   {"limit", std::to_string(usage.limit)},
-                                  {"entries", std::to_string(entryCount)}});
+                                  {"entries", std::to_string(entries)}});
     return false;
 }
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -231,7 +231,8 @@
                                          DefaultRetryAfter);
     if (refusalStatus != 0)
         co_return co_await refuseRequest(context, request, refusalStatus, reason);
-    recordRequest(context.state.retryBudget, RuntimeClock::now());
+    recordRequest(retryBudget(context.state, request.service), entryCount(context.state.roster),
+                  RuntimeClock::now());
     const bool isAcceptPeriodOver =
             context.state.isDraining
             && RuntimeClock::now() - context.state.drainingSince > DrainAcceptPeriod;
