soak: endpoints reject requests, and repeats are counted from outside

Guards against repeats beyond the retry budget over restarts and pauses of entries. For a part of each run endpoints reject 0.8 of their requests; callers' requests and all arrivals beyond the first are counted by service, and every window of 10 s is checked at the end.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -406,6 +406,7 @@
             "c" + std::to_string(caller.number) + "-" + std::to_string(soak.nextRequest++);
     const SentRequest request = makeRandomRequest(soak, caller, id);
     soak.sent[id] = request;
+    soak.serviceLoads[serviceOf(request.kind)].requests.push_back(RuntimeClock::now());
     ++soak.counts.requests;
     const bool isStream = request.kind == RequestKind::Stream;
     const Duration timeout = isStream ? Duration(StreamTimeout) : Duration(PlainTimeout);
@@ -439,6 +440,7 @@
     request.path = addedRoutePrefix(version) + "x";
     request.body = id;
     soak.sent[id] = request;
+    soak.serviceLoads[serviceOf(request.kind)].requests.push_back(RuntimeClock::now());
     std::string error;
     const ChannelPointer channel = co_await connectChannel(addressOf(entry, CallerPort),
                                                            ConnectTimeout, BufferBytes, error);
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -29,6 +29,9 @@
 // then.
 constexpr auto DiskRecoveryTime = seconds(8);
 
+// Fraction of the requests that endpoints reject while they reject requests.
+constexpr double RejectionRatio = 0.8;
+
 // Counts the active faults, so that no more control VMs fail at the same time than the settings
 // tolerate.
 struct ActiveFaults
@@ -202,10 +205,22 @@
     logFault(soak, "the prompt part ends no more engines");
 }
 
+// Lets the endpoints reject most requests for a part of the test.
+asio::awaitable<void> runRejections(SoakState &soak)
+{
+    co_await sleepFor(randomDuration(soak, Duration::zero(), soak.options.duration / 2));
+    logFault(soak, "endpoints reject requests");
+    soak.rejectionRatio = RejectionRatio;
+    co_await sleepFor(randomDuration(soak, soak.options.duration / 4, soak.options.duration / 2));
+    soak.rejectionRatio = 0;
+    logFault(soak, "endpoints reject no more requests");
+}
+
 } // namespace
 
 asio::awaitable<void> injectFaults(SoakState &soak)
 {
+    asio::co_spawn(soak.context, runRejections(soak), asio::detached);
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     ActiveFaults active;
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -60,8 +60,9 @@
              << "\n  readiness: " << quoted(addressOf(node, ReadinessPort)) << "\n";
     file << "limits:\n  connections: 1000\n  tolerated_losses: 1\n  heartbeat: 1s\n"
          << "  stop_bound: " << StopTimeout.count() << "s\n"
-         << "  entry_list_lifetime: 2s\n  retry_ratio: 0.2\n  retry_window: 10s\n"
-         << "  retry_allowance: 100\n";
+         << "  entry_list_lifetime: 2s\n  retry_ratio: " << RetryRatio
+         << "\n  retry_window: " << std::chrono::seconds(RetryWindow).count()
+         << "s\n  retry_allowance: " << RetryAllowance << "\n";
 }
 
 } // namespace
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -61,11 +61,14 @@
 void printCounts(const SoakState &soak)
 {
     const SoakCounts &counts = soak.counts;
+    std::size_t repeats = 0;
+    for (const auto &[service, load] : soak.serviceLoads)
+        repeats += load.repeats.size();
     std::cout << "seed " << soak.options.seed << ": " << counts.requests << " requests, "
               << counts.served << " served, " << counts.refused << " refused, " << counts.failed
               << " failed; " << counts.faults << " faults, " << counts.publishedConfigurations
               << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
-              << soak.lateEndingRequests << " late ones" << std::endl;
+              << soak.lateEndingRequests << " late ones, " << repeats << " repeats" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
@@ -94,6 +97,7 @@
     // Callers keep using their connections until the processes have exited.
     co_await stopNodes(soak);
     soak.isOver = true;
+    checkRepeats(soak);
     soak.context.stop();
 }
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -58,6 +58,11 @@
     std::cout << "violation at " << soak.violations.back() << std::endl;
 }
 
+std::string serviceOf(RequestKind kind)
+{
+    return kind == RequestKind::Stream ? "drafts" : "ledger";
+}
+
 double randomFraction(SoakState &soak)
 {
     return std::uniform_real_distribution<double>(0, 1)(soak.rng);
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "faultproxy.h"
+#include "loadchecks.h"
 #include "support/enginefleet.h"
 
 #include "libgateway/httpmessage.h"
@@ -114,8 +115,14 @@
 
     // Address of the entry for callers.
     std::string entry;
+
+    // Times that the request reached an endpoint, whether it was run or not.
+    std::uint32_t arrivals = 0;
 };
 
+// Returns the service to which requests of the kind are sent.
+std::string serviceOf(RequestKind kind);
+
 struct SoakCounts
 {
     std::uint64_t requests = 0;
@@ -167,6 +174,11 @@
     std::vector<TimePoint> engineEnds;
     std::size_t lateEndingRequests = 0;
 
+    // Fraction of the requests that endpoints reject.
+    double rejectionRatio = 0;
+
+    ServiceLoads serviceLoads;
+
     // Stops the callers and the operator.
     bool isOver = false;
 };
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -281,10 +281,22 @@
         restartEndpoint(soak, endpoint);
 }
 
+// Counts each time that a request of a caller reaches an endpoint.
+void recordArrival(SoakState &soak, const HttpHead &head)
+{
+    const auto found = soak.sent.find(headerValue(head, "X-Trefoilrun-Attempt-Id"));
+    if (found == soak.sent.end())
+        return;
+    SentRequest &request = found->second;
+    if (++request.arrivals > 1)
+        soak.serviceLoads[serviceOf(request.kind)].repeats.push_back(RuntimeClock::now());
+}
+
 // Handles one request. Returns whether the connection stays open.
 asio::awaitable<bool> handleRequest(Session &session, const HttpHead &head, const std::string &body)
 {
     SoakEndpoint &endpoint = session.endpoint;
+    recordArrival(session.soak, head);
     const std::string expected = headerValue(head, "X-Trefoilrun-Expect-Instance");
     if (!expected.empty() && expected != endpoint.id)
         co_return co_await session.write(makeNotExecutedResponse(421, head));
@@ -300,6 +312,8 @@
     }
     if (isStream && !isServingHead(session.soak, endpoint))
         co_return co_await session.write(makeNotExecutedResponse(503, head));
+    if (randomFraction(session.soak) < session.soak.rejectionRatio)
+        co_return co_await session.write(makeNotExecutedResponse(503, head));
     recordExecution(session.soak, head, *request);
     if (request->hasEndingPart && session.soak.isEndingPartActive) {
         co_await endEngine(session, *request);
