libfleet, libgateway, platform: the limits that endpoints name are read and logged

Cause sought: endpoints get more requests than the limit that they name (LIMIT). No line of the logs told that an endpoint named a limit.

The field is decoded once in platform/; libfleet/endpointlimits holds what is known of each incarnation; E511 tells each change with the figure before and its age, E512 an invalid figure once for each incarnation, trefoil_limited_endpoints the number. An answer without the field ends a limit only if its request was sent after the limit was last named, since answers may overtake each other. No decision uses it yet.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -31,6 +31,7 @@
     std::string promptParts; // decoded by Dialect::decodePromptParts
     std::string priority;    // 0 is the most urgent
     std::string lastEventId;
+    std::string requestLimit; // in answers of endpoints, decoded by Dialect::decodeRequestLimit
 };
 
 enum class CallKind : std::uint8_t {
@@ -80,6 +81,10 @@
     // Returns the parts of a prompt in order. Leaves out entries that cannot be read.
     std::vector<PromptPart> (*decodePromptParts)(std::string_view text) = nullptr;
 
+    // Returns the number of requests a second that an endpoint takes from all entries together, or
+    // the reason why the figure cannot be used.
+    std::variant<double, std::string> (*decodeRequestLimit)(std::string_view text) = nullptr;
+
     std::string (*encodeOrder)(const GroupOrder &order) = nullptr;
     std::string (*encodeEntryList)(std::span<const std::string> addresses,
                                    Duration lifetime) = nullptr;
--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -5,6 +5,7 @@
 // I/O.
 
 #include "libfleet/dialect.h"
+#include "libfleet/endpointlimits.h"
 #include "libfleet/endpoints.h"
 #include "libfleet/enginemodel.h"
 #include "libfleet/entryroster.h"
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libfleet/endpointlimits.h"
 #include "libfleet/endpoints.h"
 #include "libfleet/enginemodel.h"
 #include "libfleet/serviceconfiguration.h"
@@ -87,9 +88,10 @@
     std::map<std::string, FirstEventOverhead> overheads; // by model
     std::map<std::string, RequestRate> arrivalRates;     // of requests at this entry, by model
     std::map<std::string, RequestRate> refusalRates;     // of refused requests, by model
-    std::size_t entryCount = 1;                          // entries that share the endpoints
-    Duration peerLoadAge{}; // age of the loads that other entries reported
-    std::string domain;     // failure domain of this entry
+    EndpointLimits limits;
+    std::size_t entryCount = 1; // entries that share the endpoints
+    Duration peerLoadAge{};     // age of the loads that other entries reported
+    std::string domain;         // failure domain of this entry
     std::mt19937_64 rng;
 };
 
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -201,6 +201,10 @@
         std::erase_if(state_.lastProgressAt,
                       [now](const auto &item) { return now - item.second > ProgressRetention; });
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
+        removeUnknownLimits(state_.placement.limits, state_.placement.table);
+        std::erase_if(state_.invalidLimits, [this](const auto &item) {
+            return !findEndpoint(state_.placement.table, item.first);
+        });
         state_.connectionPool.closeExpired(now);
         removeExpiredEvidence(state_.quarantine, now);
         updateRoster(now);
@@ -514,6 +518,11 @@
         metrics.setGauge("trefoil_retry_token_limit", "service=\"" + service + "\"", usage.limit);
     }
     set("roster_entries", static_cast<double>(entryCount(state_.roster)));
+    const auto &limits = state_.placement.limits.byEndpoint;
+    set("limited_endpoints",
+        static_cast<double>(std::count_if(limits.begin(), limits.end(), [](const auto &item) {
+            return item.second.perSecond.has_value();
+        })));
     set("configuration_version", state_.config ? static_cast<double>(state_.config->version) : 0);
     response.contentType = "text/plain; version=0.0.4";
     response.body = metrics.prometheusText();
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -42,6 +42,9 @@
     // Sets of parts that the log named as quarantined.
     std::set<PartSet> loggedVerdicts;
 
+    // Start of the last incarnation of each endpoint whose invalid limit was reported.
+    std::map<EndpointId, std::uint64_t> invalidLimits;
+
     // Whether a control VM passes evidence on to the other entries.
     bool isLinkedToControl = false;
 
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/responserelay.h"
 
+#include "libgateway/entrylimits.h"
 #include "libgateway/entryquarantine.h"
 #include "libruntime/clock.h"
 
@@ -240,6 +241,7 @@
     progress.eventFilter.incompleteEvent.clear();
     std::optional<TimePoint> overdueSince;
     std::uint32_t unrelatedResponses = 0;
+    bool isLimitRecorded = false;
     HttpParser parser = makeResponseParser(request);
     while (true) {
         const bool isParsed = parser.consume(endpoint.input());
@@ -257,8 +259,14 @@
             if (!endpoint.isEnded() || !endpoint.input().empty())
                 continue;
         }
-        const bool isStream = parser.isHeadDone() && isEventStream(context, request, parser.head())
-                              && !isUnrelatedResponse(context, request, parser.head());
+        const bool isOwnHead =
+                parser.isHeadDone() && !isUnrelatedResponse(context, request, parser.head());
+        // A response 421 comes from another endpoint at the address.
+        if (isOwnHead && !isLimitRecorded && parser.head().status != 421) {
+            isLimitRecorded = true;
+            recordLimit(context.state, placement, parser.head(), sentAt);
+        }
+        const bool isStream = isOwnHead && isEventStream(context, request, parser.head());
         if (isParsed && isStream) {
             const std::string bytes = parser.takeBody();
             const bool isForwarded = co_await forwardEvents(context, request, progress, parser,
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -49,6 +49,8 @@
         {Event::PartsTried, Info, "a request with a refused part of a prompt is tried"},
         {Event::RetryShareChanged, Info, "the entry's share of the retry allowance changed"},
         {Event::RetryDenied, Info, "a request is not repeated, the retry budget is used up"},
+        {Event::EndpointLimitChanged, Info, "the request limit of an endpoint changed"},
+        {Event::EndpointLimitInvalid, Warning, "an endpoint named a limit that cannot be used"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -45,6 +45,8 @@
     PartsTried = 508,
     RetryShareChanged = 509,
     RetryDenied = 510,
+    EndpointLimitChanged = 511,
+    EndpointLimitInvalid = 512,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
