libfleet, libgateway: entries share the limits that endpoints name

Cause: nothing read the field, so the limit of an endpoint was no part of its capacity.

Change: a limit belongs to a few entries, its holders, which follow from the names in the roster and the time of the last answer, so that all entries agree without a message. Each holder has a token bucket for one request; a process that starts again begins with an empty one. Digests tell limits, their end and which entries need tokens; a holder gives an unused token away after it took it from its own bucket. Placement leaves out endpoints without a token, and a request that none can take is refused at once (503, Retry-After until the next token). A limit ends with an answer to a later request that does not name it, or with the incarnation; without answers the next entries hold it, so it is tried again.

--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -2,8 +2,6 @@
 
 #include "libfleet/groupplanner.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -115,13 +113,25 @@
     return estimateTiming(*service->engine, *model, candidate.load, request.size);
 }
 
+// Limits the time after which a caller may retry to a third of the time left. The result is at
+// least MinRetryAfter.
+Duration boundRetryAfter(const PlacementRequest &request, Duration wait)
+{
+    return std::clamp(wait, MinRetryAfter, std::max(MinRetryAfter, request.timeLeft / 3));
+}
+
 // Returns the time by which the predicted first event misses the target, since the wait shrinks by
-// the time that passes. The result is limited to a third of the time left, but is at least
-// MinRetryAfter.
+// the time that passes.
 Duration computeRetryAfter(const PlacementRequest &request, Duration firstEvent)
 {
-    const Duration excess = firstEvent - std::max(request.targetTimeLeft, Duration::zero());
-    return std::clamp(excess, MinRetryAfter, std::max(MinRetryAfter, request.timeLeft / 3));
+    return boundRetryAfter(request,
+                           firstEvent - std::max(request.targetTimeLeft, Duration::zero()));
+}
+
+void recordNeeds(EndpointLimits &limits, std::span<const EndpointId> endpoints, TimePoint now)
+{
+    for (const EndpointId &endpoint : endpoints)
+        recordNeed(limits, endpoint, now);
 }
 
 // Returns the predicted time to the first event, including the observed overhead.
@@ -231,22 +241,39 @@
     return *loads[pickIndex(state.rng)].second;
 }
 
-// Returns the endpoints that this request has not tried and that are not ejected.
-std::vector<PlacementCandidate> findUntriedCandidates(const PlacementState &state,
-                                                      const PlacementRequest &request,
-                                                      std::span<const Endpoint *const> endpoints,
-                                                      TimePoint now)
+// Endpoints that a request has not tried and that are not ejected.
+struct UntriedEndpoints
 {
     std::vector<PlacementCandidate> candidates;
+
+    // Endpoints that name a limit of which this entry may use nothing now, and the shortest time
+    // until it may.
+    std::vector<EndpointId> limited;
+    Duration limitWait = Duration::max();
+};
+
+UntriedEndpoints findUntriedEndpoints(const PlacementState &state, const PlacementRequest &request,
+                                      std::span<const Endpoint *const> endpoints, TimePoint now)
+{
+    UntriedEndpoints untried;
+    std::vector<PlacementCandidate> &candidates = untried.candidates;
     for (const Endpoint *endpoint : endpoints) {
         const EndpointHealth *health = findHealth(state, *endpoint);
         const bool isEjected = health && health->ejectedUntil > now;
         if (isEjected || request.triedEndpoints.contains(endpoint->report.id))
             continue;
+        if (const EndpointLimit *limit = findLimit(state.limits, *endpoint)) {
+            const Duration wait = timeUntilToken(state.limits, *limit, now);
+            if (wait > Duration::zero()) {
+                untried.limited.push_back(endpoint->report.id);
+                untried.limitWait = std::min(untried.limitWait, wait);
+                continue;
+            }
+        }
         candidates.push_back({endpoint, health, totalLoad(state, endpoint->report.id, now), {}});
         candidates.back().estimate = estimateAt(request, candidates.back());
     }
-    return candidates;
+    return untried;
 }
 
 // Returns the endpoint with the lowest cost. A small random spread distributes requests over
@@ -275,8 +302,14 @@
             findCandidates(state, *request.config, request.service, request.model, now);
     placement.candidateCount = endpoints.size();
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
-    const std::vector<PlacementCandidate> candidates =
-            findUntriedCandidates(state, request, endpoints, now);
+    const UntriedEndpoints untried = findUntriedEndpoints(state, request, endpoints, now);
+    const std::vector<PlacementCandidate> &candidates = untried.candidates;
+    const Duration limitWait = boundRetryAfter(request, untried.limitWait);
+    if (candidates.empty() && !untried.limited.empty()) {
+        recordNeeds(state.limits, untried.limited, now);
+        placement.verdict = PlacementVerdict::Limited;
+        placement.retryAfter = limitWait;
+    }
     if (candidates.empty())
         return placement;
     const PlacementCandidate *best = &pickLowestCost(state, candidates, now);
@@ -299,7 +332,8 @@
     const Duration expected = expectedFirstEvent(state, request, placement.estimate);
     if (isTooLate(state, request, expected)) {
         placement.verdict = PlacementVerdict::Overloaded;
-        placement.retryAfter = computeRetryAfter(request, expected);
+        placement.retryAfter = std::min(computeRetryAfter(request, expected), limitWait);
+        recordNeeds(state.limits, untried.limited, now);
     }
     return placement;
 }
@@ -338,7 +372,7 @@
 {
     const auto endpoints =
             findCandidates(state, *request.config, request.service, request.model, now);
-    return !findUntriedCandidates(state, request, endpoints, now).empty();
+    return !findUntriedEndpoints(state, request, endpoints, now).candidates.empty();
 }
 
 double estimateModelDemand(const PlacementState &state, const std::string &model, double inProgress,
@@ -365,11 +399,6 @@
     return placement;
 }
 
-EndpointHash endpointHash(const EndpointId &endpoint)
-{
-    return XXH32(endpoint.data(), endpoint.size(), 0);
-}
-
 GroupLoad totalLoad(const PlacementState &state, const EndpointId &endpoint, TimePoint now)
 {
     GroupLoad total;
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -27,10 +27,6 @@
     bool operator==(const EndpointLoad &) const = default;
 };
 
-// Identifies an endpoint in the loads that entries exchange.
-using EndpointHash = std::uint32_t;
-EndpointHash endpointHash(const EndpointId &endpoint);
-
 // Loads of one other entry, as it reported them.
 struct PeerLoads
 {
@@ -38,6 +34,8 @@
     std::uint64_t process = 0; // identifies the process of the entry, larger for later ones
     std::uint64_t sequence = 0;
     std::unordered_map<EndpointHash, EndpointLoad> loads;
+    // Endpoints of which the entry needs tokens.
+    std::vector<EndpointHash> neededEndpoints;
 };
 
 // Health of an endpoint, as this entry observes it.
@@ -112,6 +110,7 @@
     Send,
     NoEndpoint, // no endpoint is known, or all were tried or ejected
     Overloaded, // the answer would be too late
+    Limited,    // the limits that endpoints name are used up
 };
 
 struct Placement
--- a/src/libgateway/entrylimits.cpp
+++ b/src/libgateway/entrylimits.cpp
@@ -3,6 +3,8 @@
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
 
+#include <algorithm>
+
 namespace Trefoil {
 
 namespace {
@@ -12,6 +14,35 @@
     return perSecond ? std::to_string(*perSecond) : "none";
 }
 
+EndpointLimit knownLimit(const EntryState &state, const EndpointId &endpoint)
+{
+    const auto &limits = state.placement.limits.byEndpoint;
+    const auto found = limits.find(endpoint);
+    return found == limits.end() ? EndpointLimit{} : found->second;
+}
+
+// Logs a change. `source` is the name of the entry that reported it, or "answer".
+void logLimit(const EntryState &state, const EndpointId &endpoint, const EndpointLimit &before,
+              const std::string &source, TimePoint now)
+{
+    const EndpointLimits &limits = state.placement.limits;
+    const EndpointLimit &limit = limits.byEndpoint.at(endpoint);
+    const LimitShare share = limitShare(limits, limit, now);
+    const auto ageMs = [now](TimePoint at) {
+        return std::to_string((now - at) / std::chrono::milliseconds(1));
+    };
+    logEvent(Event::EndpointLimitChanged,
+             {{"endpoint", endpoint},
+              {"limit", limitText(limit.perSecond)},
+              {"limit_before", limitText(before.perSecond)},
+              {"before_ms", before.perSecond ? ageMs(before.confirmedAt) : ""},
+              {"source", source},
+              {"age_ms", ageMs(limit.confirmedAt)},
+              {"entries", std::to_string(limits.entryNames.size())},
+              {"holders", std::to_string(share.holders)},
+              {"share", std::to_string(share.perSecond)}});
+}
+
 // Reports a figure that cannot be used, once for each incarnation of an endpoint.
 void reportInvalidLimit(EntryState &state, const Placement &placement, const std::string &text,
                         const std::string &reason)
@@ -43,19 +74,43 @@
         }
         statement.perSecond = std::get<double>(decoded);
     }
+    const EndpointLimit before = knownLimit(state, placement.endpoint);
+    if (recordStatement(state.placement.limits, statement, now))
+        logLimit(state, placement.endpoint, before, "answer", now);
+}
+
+void addLimits(EntryState &state, LoadDigest &digest, TimePoint now)
+{
+    PlacementState &placement = state.placement;
+    digest.limits = takeLimitReports(placement.limits, now);
+    digest.neededEndpoints = neededEndpoints(placement.limits, now);
+    std::vector<LimitNeed> needs;
+    for (const auto &[name, peer] : placement.peers) {
+        const bool isCurrent = now - peer.receivedAt < placement.options.peerLoadTimeout;
+        if (isCurrent && !peer.neededEndpoints.empty())
+            needs.push_back({name, peer.neededEndpoints});
+    }
+    digest.grants = takeGrants(placement.limits, needs, placement.rng, now);
+    if (!digest.grants.empty())
+        state.metrics.incrementCounter("trefoil_limit_grants_total", "",
+                                       static_cast<double>(digest.grants.size()));
+}
+
+void applyLimits(EntryState &state, const LoadDigest &digest, TimePoint now)
+{
     EndpointLimits &limits = state.placement.limits;
-    const auto known = limits.byEndpoint.find(placement.endpoint);
-    const EndpointLimit before = known == limits.byEndpoint.end() ? EndpointLimit{} : known->second;
-    if (!recordStatement(limits, statement, now))
-        return;
-    logEvent(Event::EndpointLimitChanged,
-             {{"endpoint", placement.endpoint},
-              {"limit", limitText(statement.perSecond)},
-              {"limit_before", limitText(before.perSecond)},
-              {"confirmed_ms",
-               std::to_string(before.perSecond
-                                      ? (now - before.confirmedAt) / std::chrono::milliseconds(1)
-                                      : 0)}});
+    for (const LimitReport &report : digest.limits) {
+        // The limit before is only needed for the log.
+        const std::map<EndpointId, EndpointLimit>::const_iterator found = std::find_if(
+                limits.byEndpoint.begin(), limits.byEndpoint.end(),
+                [&report](const auto &item) { return item.second.hash == report.endpoint; });
+        const EndpointLimit before =
+                found == limits.byEndpoint.end() ? EndpointLimit{} : found->second;
+        if (const auto endpoint = applyLimitReport(limits, report, state.placement.table, now))
+            logLimit(state, *endpoint, before, digest.entryName, now);
+    }
+    for (const LimitGrant &grant : digest.grants)
+        applyGrant(limits, grant, now);
 }
 
 } // namespace Trefoil
--- a/src/libgateway/entrylimits.h
+++ b/src/libgateway/entrylimits.h
@@ -10,4 +10,11 @@
 void recordLimit(EntryState &state, const Placement &placement, const HttpHead &answer,
                  TimePoint sentAt);
 
+// Adds to a digest what the other entries should know of limits, and tokens for those that need
+// them.
+void addLimits(EntryState &state, LoadDigest &digest, TimePoint now);
+
+// Applies what the digest of another entry says about limits.
+void applyLimits(EntryState &state, const LoadDigest &digest, TimePoint now);
+
 } // namespace Trefoil
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/entryprocess.h"
 
 #include "libgateway/documentpacking.h"
+#include "libgateway/entrylimits.h"
 #include "libgateway/entryquarantine.h"
 #include "libgateway/relaysession.h"
 #include "libruntime/clock.h"
@@ -70,6 +71,8 @@
     placement.domain = settings.domain;
     placement.options.heartbeatTimeout = settings.heartbeatInterval * 5 / 2;
     placement.rng.seed(std::random_device{}());
+    placement.limits.entryName = settings.name;
+    placement.limits.startedAt = RuntimeClock::now();
     return placement;
 }
 
@@ -201,7 +204,7 @@
         std::erase_if(state_.lastProgressAt,
                       [now](const auto &item) { return now - item.second > ProgressRetention; });
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
-        removeUnknownLimits(state_.placement.limits, state_.placement.table);
+        removeUnknownLimits(state_.placement.limits, state_.placement.table, now);
         std::erase_if(state_.invalidLimits, [this](const auto &item) {
             return !findEndpoint(state_.placement.table, item.first);
         });
@@ -398,6 +401,7 @@
         }
     }
     removeExpiredEntries(state_.roster, now);
+    setEntries(state_.placement.limits, state_.roster);
     const std::size_t count = entryCount(state_.roster);
     if (count == loggedEntryCount_)
         return;
@@ -421,11 +425,14 @@
 void EntryProcess::sendDigests(TimePoint now)
 {
     nextDigestAt_ = now + digestInterval();
+    LoadDigest digest;
+    addLimits(state_, digest, now);
     const bool hasLoads = !state_.placement.ownLoads.empty();
-    if (!hasLoads && !hadLoads_)
+    const bool hasLimits =
+            !digest.limits.empty() || !digest.neededEndpoints.empty() || !digest.grants.empty();
+    if (!hasLoads && !hadLoads_ && !hasLimits)
         return;
     hadLoads_ = hasLoads;
-    LoadDigest digest;
     digest.entryName = state_.settings.name;
     digest.processStartMs = processStartMs_;
     digest.sequence = ++digestSequence_;
@@ -478,6 +485,8 @@
     peer.loads.clear();
     for (const LoadDigest::ReportedLoad &reported : digest.loads)
         peer.loads[reported.endpoint] = {reported.requests, reported.pendingPromptTokens};
+    peer.neededEndpoints = digest.neededEndpoints;
+    applyLimits(state_, digest, peer.receivedAt);
 }
 
 bool EntryProcess::isReady() const
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -6,6 +6,19 @@
 
 namespace Trefoil {
 
+namespace {
+
+// Decodes a message of which up to three lists at the end may be missing.
+template <class Message>
+Message decodeWithMissingLists(std::string_view bytes)
+{
+    // An empty list is encoded as eight zero bytes.
+    constexpr std::size_t maxMissingBytes = 3 * sizeof(std::uint64_t);
+    return decode<Message>(std::string(bytes) + std::string(maxMissingBytes, '\0'));
+}
+
+} // namespace
+
 template <class Archive>
 void serialize(Archive &archive, GroupMembership &m)
 {
@@ -131,10 +144,23 @@
     archive(l.endpoint, l.requests, l.pendingPromptTokens);
 }
 
+template <class Archive>
+void serialize(Archive &archive, LimitReport &r)
+{
+    archive(r.endpoint, r.startedAtMs, r.perSecond, r.ageMs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, LimitGrant &g)
+{
+    archive(g.endpoint, g.entry);
+}
+
 template <class Archive>
 void serialize(Archive &archive, LoadDigest &d)
 {
-    archive(d.entryName, d.processStartMs, d.sequence, d.loads);
+    archive(d.entryName, d.processStartMs, d.sequence, d.loads, d.limits, d.neededEndpoints,
+            d.grants);
 }
 
 void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
@@ -176,14 +202,12 @@
 
 LinkMessage decodeLinkMessage(std::string_view bytes)
 {
-    // An empty list is encoded as eight zero bytes.
-    constexpr std::size_t maxMissingBytes = 3 * sizeof(std::uint64_t);
-    return decode<LinkMessage>(std::string(bytes) + std::string(maxMissingBytes, '\0'));
+    return decodeWithMissingLists<LinkMessage>(bytes);
 }
 
 LoadDigest decodeLoadDigest(std::string_view bytes)
 {
-    return decode<LoadDigest>(bytes);
+    return decodeWithMissingLists<LoadDigest>(bytes);
 }
 
 } // namespace Trefoil
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -171,6 +171,12 @@
     std::uint64_t sequence = 0;
 
     std::vector<ReportedLoad> loads;
+
+    // Limits that endpoints named, endpoints of which the sender needs tokens, and tokens that it
+    // gives away.
+    std::vector<LimitReport> limits;
+    std::vector<EndpointHash> neededEndpoints;
+    std::vector<LimitGrant> grants;
 };
 
 std::string encodeLinkMessage(const LinkMessage &message);
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -292,6 +292,11 @@
         progress.lastReason = "overloaded";
         co_return false;
     }
+    if (placement.verdict == PlacementVerdict::Limited) {
+        progress.lastReason = "the limits of the endpoints are used up";
+        context.state.metrics.incrementCounter("trefoil_limit_refusals_total", "");
+        co_return false;
+    }
     if (progress.sendCount > 0) {
         const bool mayRepeat =
                 progress.sendCount < request.route->maxAttempts
@@ -302,6 +307,9 @@
         progress.isSuspect = false;
         context.state.metrics.incrementCounter("trefoil_repeats_total", "");
     }
+    // The token is taken before the connection is opened, so that no other request gets it.
+    if (const Endpoint *endpoint = findEndpoint(context.state.placement.table, placement.endpoint))
+        takeToken(context.state.placement.limits, *endpoint, now);
     progress.triedEndpoints.insert(placement.endpoint);
     progress.lastEndpoint = placement.endpoint;
     progress.lastOutcome = co_await runAttempt(context, request, progress, placement);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -147,6 +147,17 @@
     BOOST_CHECK_EQUAL(toText(shared), "5c1e07a2,91bd3f06");
 }
 
+BOOST_AUTO_TEST_CASE(limits_of_endpoints_are_misread)
+{
+    const auto decode = dialect().decodeRequestLimit;
+    BOOST_CHECK_EQUAL(std::get<double>(decode("3.5")), 3.5);
+    BOOST_CHECK_EQUAL(std::get<double>(decode("12")), 12);
+    BOOST_CHECK_EQUAL(std::get<double>(decode("0")), 0);
+    for (const std::string_view text :
+         {"", "many", "3.5/s", "3,5", "-1", "nan", "inf", "1e3", "1000001", "3.5 4"})
+        BOOST_CHECK_MESSAGE(std::holds_alternative<std::string>(decode(text)), text);
+}
+
 BOOST_AUTO_TEST_CASE(order_is_encoded_wrongly)
 {
     GroupOrder order;
@@ -322,6 +333,29 @@
     BOOST_CHECK_THROW(decodeLinkMessage(bytes), std::exception);
 }
 
+// An entry that loses a field of a digest exceeds limits or leaves them unused.
+BOOST_AUTO_TEST_CASE(limits_in_digests_lose_content)
+{
+    LoadDigest digest;
+    digest.entryName = "entry-1";
+    digest.loads = {{7, 1, 100}};
+    digest.limits = {{7, 12, 3.5, 40}, {8, 13, std::nullopt, 50}};
+    digest.neededEndpoints = {7, 9};
+    digest.grants = {{8, 77}};
+    std::string bytes = encodeLoadDigest(digest);
+    const LoadDigest decoded = decodeLoadDigest(bytes);
+    BOOST_CHECK(decoded.limits == digest.limits);
+    BOOST_CHECK(decoded.neededEndpoints == digest.neededEndpoints);
+    BOOST_CHECK(decoded.grants == digest.grants);
+    // Entries of the version before send digests without limits.
+    digest.limits.clear();
+    digest.neededEndpoints.clear();
+    digest.grants.clear();
+    bytes = encodeLoadDigest(digest);
+    bytes.resize(bytes.size() - 3 * sizeof(std::uint64_t));
+    BOOST_CHECK_EQUAL(decodeLoadDigest(bytes).loads.size(), 1);
+}
+
 // Configurations with 1,600 routes are sent one after another to 75 processes over slow links, so
 // documents are packed. A damaged or truncated one must be detected.
 BOOST_AUTO_TEST_CASE(packed_document_is_too_large_or_unpacked_wrongly)
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -180,6 +180,7 @@
             addEndpointReport(third);
         recordEntry(state.roster, state.settings.name, RuntimeClock::now());
         retryBudget(state, "desk").tokens = 10;
+        setEntries(state.placement.limits, state.roster);
     }
 
     void addEndpointReport(const ScriptedEndpoint &endpoint)
@@ -249,6 +250,14 @@
            + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// Returns a success that names a limit in requests a second.
+std::string makeLimitedSuccess(const std::string &body, const std::string &limit)
+{
+    std::string response = makeSuccess(body);
+    response.insert(response.find("Content-Length"), "Server-Limit: " + limit + "\r\n");
+    return response;
+}
+
 std::string makeStreamHead()
 {
     return "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
@@ -322,6 +331,45 @@
     BOOST_CHECK(noRoute.first.receivedHeads.empty());
 }
 
+BOOST_AUTO_TEST_CASE(requests_beyond_the_limit_of_the_only_endpoint_are_sent_or_wait)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 1);
+    fixture.first.responses = {makeLimitedSuccess("first", "0.1"), makeSuccess("second")};
+    fixture.exchange(makeRequest(KeyField, "b"), "first");
+    const TimePoint sentAt = RuntimeClock::now();
+    fixture.exchange(makeRequest(KeyField, "b"), "503");
+    BOOST_CHECK_LT((RuntimeClock::now() - sentAt).count(), Duration(milliseconds(300)).count());
+    // The next token comes in 4 s, and callers are told a third of the time left at most.
+    BOOST_CHECK(contains(fixture.callerInput, "Retry-After: 1.33"));
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+}
+
+BOOST_AUTO_TEST_CASE(requests_beyond_the_limit_of_an_endpoint_do_not_go_to_others)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::NonIdempotent, 2);
+    fixture.first.responses = {makeLimitedSuccess("first", "0.1")};
+    fixture.second.responses = {makeSuccess("second"), makeSuccess("third")};
+    fixture.exchange(makeRequest(KeyField, "b"), "first");
+    fixture.exchange(makeRequest(KeyField, "b"), "second");
+    fixture.exchange(makeRequest(KeyField, "b"), "third");
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 2);
+}
+
+BOOST_AUTO_TEST_CASE(invalid_limits_hold_back_requests_or_are_reported_each_time)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 1);
+    fixture.first.responses = {makeLimitedSuccess("1st", "many"), makeLimitedSuccess("2nd", "-1"),
+                               makeLimitedSuccess("3rd", "1e99")};
+    for (const std::string expected : {"1st", "2nd", "3rd"})
+        fixture.exchange(makeRequest(KeyField, "b"), expected);
+    BOOST_CHECK(fixture.state.placement.limits.byEndpoint.empty());
+    BOOST_CHECK(contains(fixture.state.metrics.prometheusText(), "trefoil_invalid_limits_total 1"));
+}
+
 // An endpoint that is full confirms that it did not execute the request, so that even a request
 // that is not idempotent may be sent again.
 BOOST_AUTO_TEST_CASE(request_that_was_not_executed_is_retried_at_another_endpoint)
