soak: endpoints name limits, and their requests are counted from outside

Guards against limits that are exceeded over restarts, pauses and faults of links. Half of the endpoints name limits up to 4 requests a second that change every few seconds; requests of entries that had passed on such an answer half a second before are counted by incarnation, and every window of 4 s is checked at the end.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -280,15 +280,6 @@
     co_return caller.channel != nullptr;
 }
 
-const SoakNode *findNode(const SoakState &soak, const std::string &callerAddress)
-{
-    for (const SoakNode &node : soak.nodes) {
-        if (addressOf(node, CallerPort) == callerAddress)
-            return &node;
-    }
-    return nullptr;
-}
-
 std::string makeExpectedEvents(std::uint64_t lastEvent)
 {
     std::string text;
@@ -421,7 +412,7 @@
         caller.lastEvent = 0;
         co_return;
     }
-    const SoakNode *node = findNode(soak, caller.entry);
+    const SoakNode *node = findEntry(soak, caller.entry);
     const bool isTimedOut = RuntimeClock::now() >= now + timeout + ResponseTolerance;
     if (isTimedOut && node && isUndisturbed(*node, timeout + ResponseTolerance + FaultRecoveryTime))
         reportViolation(soak, "request " + id + " got no response from " + node->name
@@ -439,6 +430,7 @@
     request.kind = RequestKind::Lookup;
     request.path = addedRoutePrefix(version) + "x";
     request.body = id;
+    request.entry = addressOf(entry, CallerPort);
     soak.sent[id] = request;
     soak.serviceLoads[serviceOf(request.kind)].requests.push_back(RuntimeClock::now());
     std::string error;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -32,6 +32,11 @@
 // Fraction of the requests that endpoints reject while they reject requests.
 constexpr double RejectionRatio = 0.8;
 
+// Largest limit that an endpoint names, in requests a second, and the time until limits change.
+constexpr double MaxLimit = 4;
+constexpr auto MinLimitTime = seconds(2);
+constexpr auto MaxLimitTime = seconds(8);
+
 // Counts the active faults, so that no more control VMs fail at the same time than the settings
 // tolerate.
 struct ActiveFaults
@@ -216,10 +221,35 @@
     logFault(soak, "endpoints reject no more requests");
 }
 
+// Lets some endpoints name limits, which change, for a part of the test.
+asio::awaitable<void> runLimits(SoakState &soak)
+{
+    co_await sleepFor(randomDuration(soak, Duration::zero(), soak.options.duration / 4));
+    const TimePoint until =
+            RuntimeClock::now()
+            + randomDuration(soak, soak.options.duration / 2, soak.options.duration * 3 / 4);
+    while (RuntimeClock::now() < until) {
+        for (const auto &endpoint : soak.endpoints) {
+            if (randomBelow(soak, 2) == 0)
+                continue;
+            const double limit = MaxLimit * randomFraction(soak);
+            logFault(soak, endpoint->id + " names the limit " + std::to_string(limit));
+            setLimit(soak, endpoint->id, limit);
+        }
+        co_await sleepFor(randomDuration(soak, MinLimitTime, MaxLimitTime));
+    }
+    for (const auto &endpoint : soak.endpoints) {
+        if (currentLimit(soak, endpoint->id))
+            setLimit(soak, endpoint->id, std::nullopt);
+    }
+    logFault(soak, "endpoints name no more limits");
+}
+
 } // namespace
 
 asio::awaitable<void> injectFaults(SoakState &soak)
 {
+    asio::co_spawn(soak.context, runLimits(soak), asio::detached);
     asio::co_spawn(soak.context, runRejections(soak), asio::detached);
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -64,11 +64,15 @@
     std::size_t repeats = 0;
     for (const auto &[service, load] : soak.serviceLoads)
         repeats += load.repeats.size();
+    std::size_t limitedArrivals = 0;
+    for (const auto &[endpoint, load] : soak.limitedLoads)
+        limitedArrivals += load.arrivals.size();
     std::cout << "seed " << soak.options.seed << ": " << counts.requests << " requests, "
               << counts.served << " served, " << counts.refused << " refused, " << counts.failed
               << " failed; " << counts.faults << " faults, " << counts.publishedConfigurations
               << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
-              << soak.lateEndingRequests << " late ones, " << repeats << " repeats" << std::endl;
+              << soak.lateEndingRequests << " late ones, " << repeats << " repeats, "
+              << limitedArrivals << " requests at limited endpoints" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
@@ -98,6 +102,7 @@
     co_await stopNodes(soak);
     soak.isOver = true;
     checkRepeats(soak);
+    checkLimits(soak);
     soak.context.stop();
 }
 
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -99,6 +99,15 @@
     }
 }
 
+const SoakNode *findEntry(const SoakState &soak, const std::string &callerAddress)
+{
+    for (const SoakNode &node : soak.nodes) {
+        if (addressOf(node, CallerPort) == callerAddress)
+            return &node;
+    }
+    return nullptr;
+}
+
 bool isUndisturbed(const SoakNode &node, Duration duration)
 {
     return node.shouldRun && !node.isPaused && RuntimeClock::now() - node.lastFaultAt > duration;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -179,6 +179,9 @@
 
     ServiceLoads serviceLoads;
 
+    // By endpoint id.
+    LimitedLoads limitedLoads;
+
     // Stops the callers and the operator.
     bool isOver = false;
 };
@@ -197,6 +200,9 @@
 // Returns a random node of the role.
 SoakNode &randomNode(SoakState &soak, const std::string &role);
 
+// Returns the entry with this address for callers, or null.
+const SoakNode *findEntry(const SoakState &soak, const std::string &callerAddress);
+
 // Returns whether the node runs and had no fault for the duration.
 bool isUndisturbed(const SoakNode &node, Duration duration);
 
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -169,6 +169,18 @@
     {
         co_return co_await channel->write(text, RuntimeClock::now() + WriteTimeout);
     }
+
+    // Writes a response or its head, with the limit of the endpoint if it names one.
+    asio::awaitable<bool> respond(const HttpHead &request, std::string text)
+    {
+        if (const auto limit = currentLimit(soak, endpoint.id)) {
+            const auto sent = soak.sent.find(headerValue(request, "X-Trefoilrun-Attempt-Id"));
+            if (sent != soak.sent.end())
+                recordToldEntry(soak, endpoint.id, sent->second.entry);
+            text.insert(text.find("\r\n") + 2, "Server-Limit: " + std::to_string(*limit) + "\r\n");
+        }
+        co_return co_await write(std::move(text));
+    }
 };
 
 // Returns whether all members of the engine's group run, so that it can write the next event.
@@ -206,7 +218,7 @@
 {
     const std::string lastEventId = headerValue(head, "Last-Event-Id");
     std::uint64_t nextEventId = lastEventId.empty() ? 1 : std::stoull(lastEventId) + 1;
-    bool isOpen = co_await session.write(makeStreamHead(head));
+    bool isOpen = co_await session.respond(head, makeStreamHead(head));
     while (isOpen && nextEventId <= StreamEvents) {
         co_await sleepFor(EventInterval);
         if (!session.isAlive())
@@ -240,7 +252,7 @@
     const bool isLost = randomFraction(session.soak) < session.endpoint.lostResponseRatio;
     if (!session.isAlive() || isLost)
         co_return false;
-    co_return co_await session.write(makePlainResponse(head, body));
+    co_return co_await session.respond(head, makePlainResponse(head, body));
 }
 
 // Counts a request that ends engines if its entry should know its part by now: the fifth engine
@@ -282,7 +294,7 @@
 }
 
 // Counts each time that a request of a caller reaches an endpoint.
-void recordArrival(SoakState &soak, const HttpHead &head)
+void recordArrival(SoakState &soak, const SoakEndpoint &endpoint, const HttpHead &head)
 {
     const auto found = soak.sent.find(headerValue(head, "X-Trefoilrun-Attempt-Id"));
     if (found == soak.sent.end())
@@ -290,13 +302,14 @@
     SentRequest &request = found->second;
     if (++request.arrivals > 1)
         soak.serviceLoads[serviceOf(request.kind)].repeats.push_back(RuntimeClock::now());
+    recordLimitedArrival(soak, endpoint.id, request.entry);
 }
 
 // Handles one request. Returns whether the connection stays open.
 asio::awaitable<bool> handleRequest(Session &session, const HttpHead &head, const std::string &body)
 {
     SoakEndpoint &endpoint = session.endpoint;
-    recordArrival(session.soak, head);
+    recordArrival(session.soak, endpoint, head);
     const std::string expected = headerValue(head, "X-Trefoilrun-Expect-Instance");
     if (!expected.empty() && expected != endpoint.id)
         co_return co_await session.write(makeNotExecutedResponse(421, head));
@@ -311,9 +324,9 @@
         co_return false;
     }
     if (isStream && !isServingHead(session.soak, endpoint))
-        co_return co_await session.write(makeNotExecutedResponse(503, head));
+        co_return co_await session.respond(head, makeNotExecutedResponse(503, head));
     if (randomFraction(session.soak) < session.soak.rejectionRatio)
-        co_return co_await session.write(makeNotExecutedResponse(503, head));
+        co_return co_await session.respond(head, makeNotExecutedResponse(503, head));
     recordExecution(session.soak, head, *request);
     if (request->hasEndingPart && session.soak.isEndingPartActive) {
         co_await endEngine(session, *request);
