libfleet, libgateway: the slots of heads that name limits count as far as the limits allow

Cause: the leader compares the slots of a model's groups with its requests in progress.

Change: entries report in their hello how many requests a limited head can have in progress at its limit; the planner counts only these slots.

Measured: a_model_whose_heads_name_limits_gives_its_vms_away keeps the groups with the report and loses them without it.

--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -49,6 +49,23 @@
     return vms;
 }
 
+// Returns the slots of the model's open groups that stay empty because of the limits of their
+// heads.
+double countUnusableSlots(const PlanningStep &step, const Service &service,
+                          const ModelProfile &model)
+{
+    double slots = 0;
+    for (const auto &[name, group] : step.planner.groups) {
+        if (group.service != service.name || group.model != model.name
+            || group.state != GroupState::Open)
+            continue;
+        const auto limited = step.planner.limitedSlotsByHead.find(group.members.front());
+        if (limited != step.planner.limitedSlotsByHead.end())
+            slots += std::max(0.0, service.engine->slots - limited->second);
+    }
+    return slots;
+}
+
 // Returns the estimated number of a model's requests that would be in progress if none were
 // refused.
 double findDemand(const PlanningStep &step, const ModelProfile &model)
@@ -70,7 +87,8 @@
         totalDemand += findDemand(step, other);
     if (!step.planner.options.balancesByDemand || totalDemand < service.engine->slots)
         return groups * model.vmsPerGroup / std::max(model.workShare, 1e-3);
-    return groups * service.engine->slots / std::max(findDemand(step, model), 1.0);
+    const double slots = groups * service.engine->slots - countUnusableSlots(step, service, model);
+    return std::max(slots, 0.0) / std::max(findDemand(step, model), 1.0);
 }
 
 // Returns the number of a model's requests for each slot of its open groups, or 1 when it has no
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -156,6 +156,8 @@
     // Estimated number of requests at all entries that would be in progress if none were refused,
     // by model.
     std::map<std::string, double> demandByModel;
+    // Requests that heads can have in progress at the limits that they name.
+    std::map<EndpointId, double> limitedSlotsByHead;
     std::map<EndpointId, TimePoint> lastStallByHead;    // last stall that an entry reported
     std::map<EndpointId, TimePoint> lastProgressByHead; // last progress that any entry saw
     std::map<std::string, FleetGroup> groups;
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -338,6 +338,18 @@
     return placement;
 }
 
+// Estimates the duration of a model's requests from those in progress at this entry and their rate.
+double estimateRequestSeconds(const PlacementState &state, const std::string &model,
+                              double inProgress, TimePoint now)
+{
+    const Duration window = state.options.rateWindow;
+    const double acceptedRate = currentRate(state.arrivalRates, model, window, now)
+                                - currentRate(state.refusalRates, model, window, now);
+    const double requestSeconds =
+            acceptedRate > 0 && inProgress > 0 ? inProgress / acceptedRate : DefaultRequestSeconds;
+    return std::clamp(requestSeconds, MinRequestSeconds, MaxRequestSeconds);
+}
+
 } // namespace
 
 std::vector<const Endpoint *> findCandidates(const PlacementState &state,
@@ -378,14 +390,15 @@
 double estimateModelDemand(const PlacementState &state, const std::string &model, double inProgress,
                            TimePoint now)
 {
-    const Duration window = state.options.rateWindow;
-    const double requestRate = currentRate(state.arrivalRates, model, window, now);
-    const double refusalRate = currentRate(state.refusalRates, model, window, now);
-    const double acceptedRate = requestRate - refusalRate;
-    const double requestSeconds =
-            acceptedRate > 0 && inProgress > 0 ? inProgress / acceptedRate : DefaultRequestSeconds;
-    return inProgress
-           + refusalRate * std::clamp(requestSeconds, MinRequestSeconds, MaxRequestSeconds);
+    const double refusalRate =
+            currentRate(state.refusalRates, model, state.options.rateWindow, now);
+    return inProgress + refusalRate * estimateRequestSeconds(state, model, inProgress, now);
+}
+
+double estimateLimitedSlots(const PlacementState &state, const std::string &model,
+                            double inProgress, double perSecond, TimePoint now)
+{
+    return perSecond * estimateRequestSeconds(state, model, inProgress, now);
 }
 
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now)
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -136,6 +136,11 @@
 double estimateModelDemand(const PlacementState &state, const std::string &model, double inProgress,
                            TimePoint now);
 
+// Estimates how many requests of a model an endpoint has in progress while it gets the requests a
+// second of its limit.
+double estimateLimitedSlots(const PlacementState &state, const std::string &model,
+                            double inProgress, double perSecond, TimePoint now);
+
 // Returns the load of all entries on an endpoint.
 GroupLoad totalLoad(const PlacementState &state, const EndpointId &endpoint, TimePoint now);
 
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -741,9 +741,14 @@
     const bool mayBeUnused = settings_.isFirstStart && now - startedAt_ < FirstStartPeriod;
     planner_->hasTraffic = hasSeenRequests_ || !mayBeUnused;
     planner_->demandByModel.clear();
+    planner_->limitedSlotsByHead.clear();
     for (const auto &[pointer, link] : acceptedLinks_) {
         for (const auto &[model, count] : link->peerHello.demandByModel)
             planner_->demandByModel[model] += count;
+        for (const LinkHello::LimitedHead &head : link->peerHello.limitedHeads) {
+            double &slots = planner_->limitedSlotsByHead[head.endpoint];
+            slots = std::max(slots, head.slots);
+        }
     }
     for (GroupOrder &order : planGroups(*planner_, endpointTable_, *config, now)) {
         logEvent(Event::GroupOrdered, {{"order", toString(order.kind)},
--- a/src/libgateway/entrylimits.cpp
+++ b/src/libgateway/entrylimits.cpp
@@ -96,6 +96,24 @@
                                        static_cast<double>(digest.grants.size()));
 }
 
+std::vector<LinkHello::LimitedHead> findLimitedHeads(const EntryState &state, TimePoint now)
+{
+    std::vector<LinkHello::LimitedHead> heads;
+    for (const auto &[id, known] : state.placement.limits.byEndpoint) {
+        const Endpoint *endpoint = findEndpoint(state.placement.table, id);
+        const EndpointLimit *limit =
+                endpoint ? findLimit(state.placement.limits, *endpoint) : nullptr;
+        if (!limit || !endpoint->report.membership)
+            continue;
+        const std::string model(modelOfGroup(*endpoint->report.membership));
+        const auto active = state.activeRequestsByModel.find(model);
+        const double inProgress = active == state.activeRequestsByModel.end() ? 0 : active->second;
+        heads.push_back({id, estimateLimitedSlots(state.placement, model, inProgress,
+                                                  *limit->perSecond, now)});
+    }
+    return heads;
+}
+
 void applyLimits(EntryState &state, const LoadDigest &digest, TimePoint now)
 {
     EndpointLimits &limits = state.placement.limits;
--- a/src/libgateway/entrylimits.h
+++ b/src/libgateway/entrylimits.h
@@ -14,6 +14,9 @@
 // them.
 void addLimits(EntryState &state, LoadDigest &digest, TimePoint now);
 
+// Returns the heads of groups that name a limit, for the leader.
+std::vector<LinkHello::LimitedHead> findLimitedHeads(const EntryState &state, TimePoint now);
+
 // Applies what the digest of another entry says about limits.
 void applyLimits(EntryState &state, const LoadDigest &digest, TimePoint now);
 
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -330,6 +330,7 @@
     }
     for (const auto &[model, inProgress] : state_.activeRequestsByModel)
         hello.demandByModel[model] = estimateModelDemand(state_.placement, model, inProgress, now);
+    hello.limitedHeads = findLimitedHeads(state_, now);
     for (const auto &[address, control] : controlLinks_.peers()) {
         for (const KnownNode &node : control.knownNodes) {
             if (!control.link || node.leadsInTerm <= hello.leaderTerm)
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -38,12 +38,18 @@
     archive(p.endpoint, p.startedAtMs, p.ageMs);
 }
 
+template <class Archive>
+void serialize(Archive &archive, LinkHello::LimitedHead &h)
+{
+    archive(h.endpoint, h.slots);
+}
+
 template <class Archive>
 void serialize(Archive &archive, LinkHello &h)
 {
     archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.processStartMs, h.seat,
             h.isReady, h.requestCount, h.progress, h.stalledHeads, h.demandByModel, h.leaderTerm,
-            h.leaderAddress);
+            h.leaderAddress, h.limitedHeads);
 }
 
 template <class Archive>
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -59,6 +59,15 @@
     // entries, control VMs that are partitioned from each other learn of the leader.
     Term leaderTerm = 0;
     std::string leaderAddress;
+
+    // Head of a group that names a limit, and the requests that it can have in progress at that
+    // limit.
+    struct LimitedHead
+    {
+        EndpointId endpoint;
+        double slots = 0;
+    };
+    std::vector<LimitedHead> limitedHeads;
 };
 
 // Messages of the replicated log between seats.
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -389,6 +389,26 @@
 }
 
 // Losses leave only fabrics that are too small for the large model, which is the neediest one.
+// Heads that name limits have few requests in progress, so their model seems to have slots left.
+BOOST_AUTO_TEST_CASE(a_model_whose_heads_name_limits_gives_its_vms_away)
+{
+    EngineFleet fleet = makeServingFleet(3, 11);
+    const std::size_t largeGroups = countOpenGroups(fleet, "large");
+    BOOST_REQUIRE_GE(largeGroups, 2);
+    for (const auto &[name, group] : fleet.planner.groups) {
+        if (group.model == "large")
+            fleet.planner.limitedSlotsByHead[group.members.front()] = 3;
+    }
+    fleet.planner.demandByModel["large"] = 20;
+    fleet.planner.demandByModel["small"] = 200;
+    runFleet(fleet, seconds(40));
+    BOOST_CHECK_EQUAL(countOpenGroups(fleet, "large"), largeGroups);
+    fleet.planner.limitedSlotsByHead.clear();
+    runFleet(fleet, seconds(40));
+    BOOST_CHECK_LT(countOpenGroups(fleet, "large"), largeGroups);
+    checkInvariants(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(vms_do_not_stay_idle_when_the_neediest_model_does_not_fit)
 {
     EngineFleet fleet = makeServingFleet(4, 1, 3);
