--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -297,14 +297,14 @@
         if (link->hasHello && now - link->lastReceivedAt < NodeTimeout)
             topology.nodes.push_back(toKnownNode(link->peerHello));
     }
+    std::set<std::string> connected;
+    for (const KnownNode &node : topology.nodes)
+        connected.insert(node.name);
     for (const auto &[name, seenAt] : roster_.lastSeen) {
-        const bool isConnected =
-                std::any_of(topology.nodes.begin(), topology.nodes.end(),
-                            [&name](const KnownNode &node) { return node.name == name; });
-        if (!isConnected)
-            topology.rememberedEntries.push_back(
-                    {name,
-                     static_cast<std::uint32_t>((now - seenAt) / std::chrono::milliseconds(1))});
+        const auto ageMs =
+                static_cast<std::uint32_t>((now - seenAt) / std::chrono::milliseconds(1));
+        if (!connected.contains(name))
+            topology.rememberedEntries.push_back({name, ageMs});
     }
     return topology;
 }
