libfleet, libgateway: changes of a limit carry what was known before

The log looked up the limit before each report and answer; the functions that record them now return it.

--- a/src/libfleet/endpointlimits.cpp
+++ b/src/libfleet/endpointlimits.cpp
@@ -60,33 +60,36 @@
     limit.grantedTokens = grantedTokens(limit, now);
 }
 
-// Sets what is known of a limit. Returns whether the limit changed.
-bool setLimit(EndpointLimits &limits, EndpointLimit &limit, std::optional<double> perSecond,
-              TimePoint confirmedAt, TimePoint now)
+// Returns what a bucket holds when its limit is named. The entries start with different parts of a
+// token, so that they do not send at the same time.
+double initialTokens(const EndpointLimits &limits, const EndpointLimit &limit, TimePoint now)
+{
+    constexpr double weightRange = 18446744073709551616.0; // 2^64
+    const Duration startupTime = limits.options.startupTime;
+    if (now - limits.startedAt < startupTime || now - limit.changedAt < startupTime)
+        return 0;
+    return static_cast<double>(holderWeight(~limit.hash, limits.entryName)) / weightRange;
+}
+
+// Sets what is known of a limit. Returns the change, if there is one.
+std::optional<LimitChange> setLimit(EndpointLimits &limits, const EndpointId &endpoint,
+                                    EndpointLimit &limit, std::optional<double> perSecond,
+                                    TimePoint confirmedAt, TimePoint now)
 {
     refill(limits, limit, now);
     // After a time without answers, other holders have used the tokens.
     const bool hadOtherHolders = limitShare(limits, limit, now).heldSince > TimePoint{};
     if (hadOtherHolders)
         limit.tokens = 0;
-    const bool isChanged = limit.perSecond != perSecond;
-    const bool isNew = !limit.perSecond && perSecond;
+    const LimitChange change{endpoint, limit.perSecond, now - limit.confirmedAt};
     limit.perSecond = perSecond;
     limit.confirmedAt = confirmedAt;
-    if (!isChanged)
-        return false;
-    const bool hasEndedLately = now - limit.changedAt < limits.options.startupTime;
+    if (change.before == perSecond)
+        return std::nullopt;
+    if (!change.before)
+        limit.tokens = initialTokens(limits, limit, now);
     limit.changedAt = now;
-    if (!isNew)
-        return true;
-    // The entries start with different parts of a token, so that they do not send at the same time.
-    constexpr double weightRange = 18446744073709551616.0; // 2^64
-    const bool mayHoldTokens =
-            !hasEndedLately && now - limits.startedAt >= limits.options.startupTime;
-    limit.tokens = mayHoldTokens ? static_cast<double>(holderWeight(~limit.hash, limits.entryName))
-                                           / weightRange
-                                 : 0;
-    return true;
+    return change;
 }
 
 // Returns the state of an incarnation, or null if a later one is known.
@@ -141,17 +144,17 @@
         updateRank(limits, limit);
 }
 
-bool recordStatement(EndpointLimits &limits, const LimitStatement &statement, TimePoint now)
+std::optional<LimitChange> recordStatement(EndpointLimits &limits, const LimitStatement &statement,
+                                           TimePoint now)
 {
     if (!statement.perSecond && !limits.byEndpoint.contains(statement.endpoint))
-        return false;
+        return std::nullopt;
     EndpointLimit *limit = openLimit(limits, statement.endpoint, statement.startedAtMs, now);
-    if (!limit)
-        return false;
-    const bool isOutdated = !statement.perSecond && statement.sentAt <= limit->confirmedAt;
+    const bool isOutdated =
+            !limit || (!statement.perSecond && statement.sentAt <= limit->confirmedAt);
     if (isOutdated)
-        return false;
-    return setLimit(limits, *limit, statement.perSecond, now, now);
+        return std::nullopt;
+    return setLimit(limits, statement.endpoint, *limit, statement.perSecond, now, now);
 }
 
 std::vector<LimitReport> takeLimitReports(EndpointLimits &limits, TimePoint now)
@@ -171,8 +174,8 @@
     return reports;
 }
 
-std::optional<EndpointId> applyLimitReport(EndpointLimits &limits, const LimitReport &report,
-                                           const EndpointTable &table, TimePoint now)
+std::optional<LimitChange> applyLimitReport(EndpointLimits &limits, const LimitReport &report,
+                                            const EndpointTable &table, TimePoint now)
 {
     const EndpointId *known = findEndpointId(limits, report.endpoint, table);
     if (!known)
@@ -184,8 +187,7 @@
     const TimePoint confirmedAt = now - std::chrono::milliseconds(report.ageMs);
     if (!limit || confirmedAt <= limit->confirmedAt)
         return std::nullopt;
-    const bool isChanged = setLimit(limits, *limit, report.perSecond, confirmedAt, now);
-    return isChanged ? std::optional(id) : std::nullopt;
+    return setLimit(limits, id, *limit, report.perSecond, confirmedAt, now);
 }
 
 void removeUnknownLimits(EndpointLimits &limits, const EndpointTable &table, TimePoint now)
--- a/src/libfleet/endpointlimits.h
+++ b/src/libfleet/endpointlimits.h
@@ -114,10 +114,19 @@
     TimePoint sentAt{};
 };
 
+// Change of what is known of a limit.
+struct LimitChange
+{
+    EndpointId endpoint;
+    std::optional<double> before; // requests a second
+    Duration beforeAge{};         // since an answer last said so
+};
+
 // Records an answer of an endpoint. An answer without a limit ends one only if its request was sent
-// after the limit was last named, since answers may overtake each other. Returns whether the limit
-// changed.
-bool recordStatement(EndpointLimits &limits, const LimitStatement &statement, TimePoint now);
+// after the limit was last named, since answers may overtake each other. Returns the change, if
+// there is one.
+std::optional<LimitChange> recordStatement(EndpointLimits &limits, const LimitStatement &statement,
+                                           TimePoint now);
 
 // What an entry tells the others about a limit.
 struct LimitReport
@@ -134,9 +143,9 @@
 std::vector<LimitReport> takeLimitReports(EndpointLimits &limits, TimePoint now);
 
 // Applies the report of another entry if it is about a known endpoint and later than what is known.
-// Returns the endpoint if its limit changed.
-std::optional<EndpointId> applyLimitReport(EndpointLimits &limits, const LimitReport &report,
-                                           const EndpointTable &table, TimePoint now);
+// Returns the change, if there is one.
+std::optional<LimitChange> applyLimitReport(EndpointLimits &limits, const LimitReport &report,
+                                            const EndpointTable &table, TimePoint now);
 
 // Removes the limits of endpoints and incarnations that are not in the table, and limits that ended
 // some time ago.
--- a/src/libgateway/entrylimits.cpp
+++ b/src/libgateway/entrylimits.cpp
@@ -1,10 +1,9 @@
 #include "libgateway/entrylimits.h"
 
+#include "libgateway/relayrequest.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
 
-#include <algorithm>
-
 namespace Trefoil {
 
 namespace {
@@ -14,30 +13,20 @@
     return perSecond ? std::to_string(*perSecond) : "none";
 }
 
-EndpointLimit knownLimit(const EntryState &state, const EndpointId &endpoint)
-{
-    const auto &limits = state.placement.limits.byEndpoint;
-    const auto found = limits.find(endpoint);
-    return found == limits.end() ? EndpointLimit{} : found->second;
-}
-
 // Logs a change. `source` is the name of the entry that reported it, or "answer".
-void logLimit(const EntryState &state, const EndpointId &endpoint, const EndpointLimit &before,
-              const std::string &source, TimePoint now)
+void logLimit(const EntryState &state, const LimitChange &change, const std::string &source,
+              TimePoint now)
 {
     const EndpointLimits &limits = state.placement.limits;
-    const EndpointLimit &limit = limits.byEndpoint.at(endpoint);
+    const EndpointLimit &limit = limits.byEndpoint.at(change.endpoint);
     const LimitShare share = limitShare(limits, limit, now);
-    const auto ageMs = [now](TimePoint at) {
-        return std::to_string((now - at) / std::chrono::milliseconds(1));
-    };
     logEvent(Event::EndpointLimitChanged,
-             {{"endpoint", endpoint},
+             {{"endpoint", change.endpoint},
               {"limit", limitText(limit.perSecond)},
-              {"limit_before", limitText(before.perSecond)},
-              {"before_ms", before.perSecond ? ageMs(before.confirmedAt) : ""},
+              {"limit_before", limitText(change.before)},
+              {"before_ms", change.before ? millisecondsText(change.beforeAge) : ""},
               {"source", source},
-              {"age_ms", ageMs(limit.confirmedAt)},
+              {"age_ms", millisecondsText(now - limit.confirmedAt)},
               {"entries", std::to_string(limits.entryNames.size())},
               {"holders", std::to_string(share.holders)},
               {"share", std::to_string(share.perSecond)}});
@@ -74,9 +63,8 @@
         }
         statement.perSecond = std::get<double>(decoded);
     }
-    const EndpointLimit before = knownLimit(state, placement.endpoint);
-    if (recordStatement(state.placement.limits, statement, now))
-        logLimit(state, placement.endpoint, before, "answer", now);
+    if (const auto change = recordStatement(state.placement.limits, statement, now))
+        logLimit(state, *change, "answer", now);
 }
 
 void addLimits(EntryState &state, LoadDigest &digest, TimePoint now)
@@ -118,14 +106,8 @@
 {
     EndpointLimits &limits = state.placement.limits;
     for (const LimitReport &report : digest.limits) {
-        // The limit before is only needed for the log.
-        const std::map<EndpointId, EndpointLimit>::const_iterator found = std::find_if(
-                limits.byEndpoint.begin(), limits.byEndpoint.end(),
-                [&report](const auto &item) { return item.second.hash == report.endpoint; });
-        const EndpointLimit before =
-                found == limits.byEndpoint.end() ? EndpointLimit{} : found->second;
-        if (const auto endpoint = applyLimitReport(limits, report, state.placement.table, now))
-            logLimit(state, *endpoint, before, digest.entryName, now);
+        if (const auto change = applyLimitReport(limits, report, state.placement.table, now))
+            logLimit(state, *change, digest.entryName, now);
     }
     for (const LimitGrant &grant : digest.grants)
         applyGrant(limits, grant, now);
--- a/tests/test_endpointlimits.cpp
+++ b/tests/test_endpointlimits.cpp
@@ -233,9 +233,9 @@
                 continue;
             Entry &entry = entries_[digest.to];
             for (const LimitReport &report : digest.reports) {
-                const auto id = applyLimitReport(entry.limits, report, table_, now);
-                if (id && report.perSecond)
-                    entry.knownSince.try_emplace(*id, now);
+                const auto change = applyLimitReport(entry.limits, report, table_, now);
+                if (change && report.perSecond)
+                    entry.knownSince.try_emplace(change->endpoint, now);
             }
             entry.needs[digest.from] = digest.needs;
             for (const LimitGrant &grant : digest.grants)
