soak: a limit that ends or rises counts at once

Trace: the endpoint named 2.7 a second until 16.7 s and nothing after; all three entries knew the end between 16.77 and 16.82 s (E511), and 17 of the 29 requests came after it. The check took every change of a limit into account half a second late, which is right only for a lower one: an endpoint that no longer names a limit has none. A lower limit counts as before, so the check stays as strict for what entries must hold back. test_endpointlimits counts alike.

--- a/tests/soak/loadchecks.cpp
+++ b/tests/soak/loadchecks.cpp
@@ -24,20 +24,30 @@
 // Time after which an entry must obey a limit of which it was told.
 constexpr auto LimitDelay = std::chrono::milliseconds(500);
 
-// Returns the number of requests that the limits allow in a window. A change of the limit counts
-// after LimitDelay.
+// An endpoint without a limit takes what it gets.
+constexpr double Unlimited = 1e6;
+
+// Returns the time from which a limit counts. A higher one, or none, counts at once, since entries
+// may use it as soon as they know it; a lower one counts after LimitDelay.
+TimePoint countsFrom(const LimitedLoad &load, std::size_t index)
+{
+    const auto &[at, limit] = load.limits[index];
+    const bool isLower =
+            index > 0
+            && limit.value_or(Unlimited) < load.limits[index - 1].second.value_or(Unlimited);
+    return isLower ? at + LimitDelay : at;
+}
+
+// Returns the number of requests that the limits allow in a window.
 double allowedBetween(const LimitedLoad &load, TimePoint from, TimePoint to)
 {
-    // An endpoint without a limit takes what it gets.
-    constexpr double unlimited = 1e6;
     double allowed = 0;
     for (std::size_t i = 0; i < load.limits.size(); ++i) {
-        const TimePoint begin = load.limits[i].first + (i == 0 ? Duration() : LimitDelay);
-        const TimePoint end = i + 1 < load.limits.size() ? load.limits[i + 1].first + LimitDelay
-                                                         : TimePoint::max();
-        const Duration overlap = std::min(end, to) - std::max(begin, from);
+        const TimePoint end =
+                i + 1 < load.limits.size() ? countsFrom(load, i + 1) : TimePoint::max();
+        const Duration overlap = std::min(end, to) - std::max(countsFrom(load, i), from);
         if (overlap > Duration::zero())
-            allowed += load.limits[i].second.value_or(unlimited)
+            allowed += load.limits[i].second.value_or(Unlimited)
                        * std::chrono::duration<double>(overlap).count();
     }
     return allowed;
--- a/tests/test_endpointlimits.cpp
+++ b/tests/test_endpointlimits.cpp
@@ -178,13 +178,14 @@
         return limit;
     }
 
-    // Returns the requests that the limit allows in the window. A change counts from the time at
-    // which the entries can know it.
+    // Returns the requests that the limit allows in the window. A lower limit counts from the time
+    // at which the entries can know it, a higher one at once.
     static double allowed(const Server &server, TimePoint begin)
     {
         double sum = 0;
         for (TimePoint at = begin; at < begin + Window; at += StepTime)
-            sum += limitAt(server, at - milliseconds(500)).value_or(1000)
+            sum += std::max(limitAt(server, at - milliseconds(500)).value_or(1000),
+                            limitAt(server, at).value_or(1000))
                    * std::chrono::duration<double>(StepTime).count();
         return sum;
     }
