--- /dev/null
+++ b/review/support/json.cpp
@@ -0,0 +1,2 @@
+// The header-only build of Boost.JSON.
+#include <boost/json/src.hpp>
