--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -37,6 +37,12 @@
     }
 }
 
+std::uint32_t toMilliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(
+            std::max<std::int64_t>(duration / std::chrono::milliseconds(1), 0));
+}
+
 // Remembers the model of a group in which the endpoint has become ready.
 void updateLoadedModel(Endpoint &endpoint)
 {
@@ -50,6 +56,9 @@
 ReportOutcome applyReport(EndpointTable &table, const EndpointReport &report, Duration age,
                           TimePoint now)
 {
+    if (report.isDraining)
+        recordDeparture(table.departures, {report.id, report.startedAtMs, toMilliseconds(age)},
+                        now);
     const auto found = table.endpoints.find(report.id);
     if (found == table.endpoints.end()) {
         Endpoint endpoint;
@@ -57,6 +66,7 @@
         endpoint.lastHeard = now - age;
         endpoint.lastReportAt = endpoint.lastHeard;
         endpoint.isReplaced = hasSuccessor(table, report);
+        endpoint.isLeaving = hasDeparted(table.departures, report.id, report.startedAtMs);
         updateLoadedModel(endpoint);
         table.endpoints.emplace(report.id, endpoint);
         markPredecessorsReplaced(table, report);
@@ -68,8 +78,8 @@
         return ReportOutcome::Stale;
     known.lastHeard = std::max(known.lastHeard, now - age);
     known.lastReportAt = std::max(known.lastReportAt, now - age);
+    known.isLeaving = hasDeparted(table.departures, report.id, report.startedAtMs);
     if (!isSameIncarnation) {
-        known.isLeaving = false;
         known.isReplaced = hasSuccessor(table, report);
         known.loadedModel.clear();
     }
@@ -84,17 +94,22 @@
     return hasChanged ? ReportOutcome::Changed : ReportOutcome::Refreshed;
 }
 
-bool applyDeparture(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
-                    TimePoint now)
+DepartureOutcome applyDeparture(EndpointTable &table, DepartureNotice notice, TimePoint now)
 {
-    const auto found = table.endpoints.find(id);
-    if (found == table.endpoints.end() || found->second.isLeaving)
-        return false;
-    if (startedAtMs != 0 && startedAtMs < found->second.report.startedAtMs)
-        return false;
-    found->second.isLeaving = true;
-    found->second.lastHeard = now;
-    return true;
+    const auto found = table.endpoints.find(notice.endpoint);
+    const bool isKnown = found != table.endpoints.end();
+    if (notice.startedAtMs == 0 && isKnown)
+        notice.startedAtMs = found->second.report.startedAtMs;
+    const DepartureOutcome outcome = recordDeparture(table.departures, notice, now);
+    if (!isKnown || found->second.isLeaving)
+        return outcome;
+    Endpoint &endpoint = found->second;
+    endpoint.isLeaving =
+            hasDeparted(table.departures, notice.endpoint, endpoint.report.startedAtMs);
+    if (endpoint.isLeaving)
+        endpoint.lastHeard =
+                std::max(endpoint.lastHeard, now - std::chrono::milliseconds(notice.ageMs));
+    return outcome;
 }
 
 void recordSignOfLife(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libcoord/time.h"
+#include "libfleet/departures.h"
 #include "libfleet/groupmembership.h"
 #include "libfleet/serviceconfiguration.h"
 
@@ -41,7 +42,7 @@
     EndpointReport report;
     TimePoint lastHeard{};    // last report, sign of life or progress of its group
     TimePoint lastReportAt{}; // last report or sign of life of its own
-    bool isLeaving = false;   // has announced its departure; may still serve for a while
+    bool isLeaving = false;   // has announced that it leaves; may still serve for a while
     bool isReplaced = false;  // a later endpoint has its address, so this one has ended
     std::string loadedModel;  // model of the last group in which this incarnation became ready
 };
@@ -49,6 +50,7 @@
 struct EndpointTable
 {
     std::map<EndpointId, Endpoint> endpoints;
+    DepartureTable departures;
 };
 
 enum class ReportOutcome : std::uint8_t {
@@ -58,14 +60,13 @@
 };
 
 // Applies a report that was made `age` ago. Marks endpoints with an earlier start at the same
-// address as replaced.
+// address as replaced. A report of an endpoint that drains announces its departure.
 ReportOutcome applyReport(EndpointTable &table, const EndpointReport &report, Duration age,
                           TimePoint now);
 
-// Records that an endpoint announced its departure. Ignores the departure of an earlier
-// incarnation; a `startedAtMs` of 0 means the known one. Returns false when nothing changed.
-bool applyDeparture(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
-                    TimePoint now);
+// Records that an endpoint announced its departure. It need not be known, since a report of it may
+// arrive later. The departure of an earlier incarnation leaves the endpoint in use.
+DepartureOutcome applyDeparture(EndpointTable &table, DepartureNotice notice, TimePoint now);
 
 // Records that an endpoint was heard `age` ago. Ignores other incarnations than the known one.
 void recordSignOfLife(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -4,6 +4,7 @@
 // groups, placement, seat planning and retry budget. The library makes decisions and performs no
 // I/O.
 
+#include "libfleet/departures.h"
 #include "libfleet/dialect.h"
 #include "libfleet/endpointlimits.h"
 #include "libfleet/endpoints.h"
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -24,17 +24,12 @@
 
 constexpr auto MinPlanInterval = std::chrono::milliseconds(25);
 
-// Endpoint changes that occur within this time are sent in one message.
-constexpr auto UpdateDelay = std::chrono::milliseconds(5);
-
-constexpr auto HeardUpdateInterval = std::chrono::milliseconds(500);
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
 constexpr auto LinkTimeout = std::chrono::milliseconds(2000);
 
 // A node that is silent for longer is left out of the topology and the entry list.
 constexpr auto NodeTimeout = std::chrono::milliseconds(1500);
 
-constexpr auto EndpointRetention = std::chrono::minutes(5);
 constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
 constexpr auto PublishTimeout = std::chrono::milliseconds(3000);
 constexpr auto StopDelay = std::chrono::milliseconds(300);
@@ -47,12 +42,6 @@
 
 constexpr std::size_t MaxListedEntries = 64;
 
-std::uint32_t toMilliseconds(Duration duration)
-{
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(ms, 0));
-}
-
 KnownNode toKnownNode(const LinkHello &hello)
 {
     KnownNode node;
@@ -101,22 +90,39 @@
     , internalAddress_(linkAddress(settings_))
     , processStartMs_(wallTimeMs())
     , tickTimer_(context)
-    , updateTimer_(context)
     , controlLinks_(
               context, internalAddress_, LinkInputCapacity, [this] { return makeHello(); },
               [this](const std::string & /*address*/, Link &link, LinkMessage &&message) {
                   handleLinkMessage(link, std::move(message));
               })
+    , reports_(context, dialect_, makeReportHandlers())
     , rng_(std::random_device{}())
 {}
 
 ControlProcess::~ControlProcess() = default;
 
+EndpointReports::Handlers ControlProcess::makeReportHandlers()
+{
+    EndpointReports::Handlers handlers;
+    handlers.configuration = [this] { return currentConfiguration(); };
+    handlers.reportAddress = [this] { return reportAddress(); };
+    handlers.propose = [this](RecordDepartures command, auto onDone) {
+        return seat_->isActingLeader() && seat_->propose(std::move(command), std::move(onDone));
+    };
+    handlers.broadcast = [this](const LinkMessage &message) { broadcast(message); };
+    handlers.onChanged = [this] { nextPlanAt_ = TimePoint{}; };
+    handlers.onChangeSent = [this] { runLeaderTasks(); };
+    return handlers;
+}
+
 void ControlProcess::start()
 {
     ControlSeatKeeper::Handlers handlers;
     handlers.sendMessage = [this](RaftMessage message) { sendRaftMessage(std::move(message)); };
     handlers.onChanged = [this] { handleSeatChange(); };
+    handlers.onDepartures = [this](std::span<const DepartedEndpoint> departures, bool isCommitted) {
+        reports_.applyLog(departures, isCommitted);
+    };
     seat_ = std::make_unique<ControlSeatKeeper>(context_, settings_, std::move(handlers));
     linkListener_ = std::make_unique<ChannelListener>(
             context_, internalAddress_, LinkInputCapacity,
@@ -161,7 +167,7 @@
 void ControlProcess::tick()
 {
     const TimePoint now = RuntimeClock::now();
-    compensatePause(endpointTable_, std::max(now - tickTimer_.expiry(), Duration::zero()), now);
+    compensatePause(reports_.table(), std::max(now - tickTimer_.expiry(), Duration::zero()), now);
     seat_->tick();
     controlLinks_.maintainLinks();
     if (now >= nextHelloAt_) {
@@ -169,14 +175,9 @@
         controlLinks_.broadcastHello();
         broadcastTopology();
         removeExpiredEntries(roster_, now);
-        removeExpiredEndpoints(endpointTable_, EndpointRetention, now);
-        removeExpiredEvidence(quarantine_, now);
         flushStructuredLog();
     }
-    if (now >= nextHeardUpdateAt_) {
-        nextHeardUpdateAt_ = now + HeardUpdateInterval;
-        broadcastEndpointUpdate();
-    }
+    reports_.tick(now);
     runLeaderTasks();
     tickTimer_.expires_at(now + TickInterval);
     tickTimer_.async_wait([this](const boost::system::error_code &error) {
@@ -196,7 +197,7 @@
     acceptedLinks_[link.get()] = link;
     link->start();
     link->send(makeTopology());
-    link->send(makeFullUpdate());
+    link->send(reports_.makeFullUpdate());
     link->send(ConfigurationOffer{seat_->services().version});
 }
 
@@ -218,7 +219,7 @@
         for (const RaftMessage &raftMessage : raft->messages)
             seat_->receive(raftMessage);
     } else if (auto *update = std::get_if<EndpointUpdate>(&message)) {
-        handleEndpointUpdate(*update);
+        reports_.applyUpdate(*update);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
         recordEntries(roster_, *topology, RuntimeClock::now());
         for (const KnownNode &node : topology->nodes) {
@@ -240,7 +241,7 @@
     const TimePoint now = RuntimeClock::now();
     for (const LinkHello::EndpointProgress &progress : hello.progress) {
         const Duration age = std::chrono::milliseconds(progress.ageMs);
-        recordGroupProgress(endpointTable_, progress.endpoint, progress.startedAtMs, age, now);
+        recordGroupProgress(reports_.table(), progress.endpoint, progress.startedAtMs, age, now);
         if (planner_)
             recordProgress(*planner_, progress.endpoint, now - age);
     }
@@ -258,7 +259,8 @@
 
 std::string ControlProcess::reportAddress() const
 {
-    if (seat_->isActingLeader() || endpointTable_.endpoints.size() > MaxEndpointsReportingToLeader)
+    if (seat_->isActingLeader()
+        || reports_.table().endpoints.size() > MaxEndpointsReportingToLeader)
         return {};
     if (reportedLeaderTerm_ >= seat_->term()
         && reportedLeaderAddress_ != settings_.controlListenAddress)
@@ -370,132 +372,6 @@
     broadcast(ConfigurationOffer{version});
 }
 
-ServerResponse ControlProcess::handleHeartbeat(const SystemCall &call, const std::string &body)
-{
-    auto decoded = dialect_.decodeHeartbeat(call.endpoint, body);
-    if (const auto *error = std::get_if<std::string>(&decoded)) {
-        logEvent(Event::EndpointReportInvalid, {{"endpoint", call.endpoint}, {"error", *error}});
-        return makeErrorResponse(400, *error);
-    }
-    const auto &report = std::get<EndpointReport>(decoded);
-    ServerResponse response;
-    response.body = dialect_.encodeHeartbeatReply(reportAddress());
-    // A report of a service that is not configured is acknowledged but ignored: it may come from an
-    // unrelated program and must not replace the endpoint at its address. A control VM that has
-    // just started has no configuration yet and applies all reports, because without endpoints its
-    // entries could not serve any request.
-    const ServiceConfiguration *config = currentConfiguration();
-    if (config && !findService(*config, report.service)) {
-        logEvent(Event::EndpointReportInvalid,
-                 {{"endpoint", call.endpoint}, {"error", "unknown service " + report.service}});
-        return response;
-    }
-    const ReportOutcome outcome =
-            applyReport(endpointTable_, report, Duration::zero(), RuntimeClock::now());
-    if (outcome == ReportOutcome::Changed)
-        announceEndpointChange(report.id);
-    else if (outcome == ReportOutcome::Refreshed)
-        recordHeardEndpoint(report.id);
-    return response;
-}
-
-ServerResponse ControlProcess::handleDeparture(const SystemCall &call, const std::string &body)
-{
-    const std::uint64_t startedAt = dialect_.decodeDeparture(body);
-    if (applyDeparture(endpointTable_, call.endpoint, startedAt, RuntimeClock::now()))
-        announceEndpointChange(call.endpoint);
-    ServerResponse response;
-    response.body = dialect_.encodeHeartbeatReply({});
-    return response;
-}
-
-void ControlProcess::announceEndpointChange(const EndpointId &endpoint)
-{
-    const Endpoint *known = findEndpoint(endpointTable_, endpoint);
-    const auto &membership = known->report.membership;
-    logEvent(Event::EndpointChanged,
-             {{"endpoint", endpoint},
-              {"service", known->report.service},
-              {"address", known->report.address},
-              {"draining", known->report.isDraining ? "yes" : "no"},
-              {"left", known->isLeaving ? "yes" : "no"},
-              {"fabric", known->report.fabric},
-              {"staged", joinTexts(known->report.stagedModels)},
-              {"group", membership ? membership->group : ""},
-              {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
-    changedEndpoints_.insert(endpoint);
-    nextPlanAt_ = TimePoint{};
-    scheduleEndpointUpdate();
-}
-
-void ControlProcess::scheduleEndpointUpdate()
-{
-    if (isUpdateScheduled_)
-        return;
-    isUpdateScheduled_ = true;
-    updateTimer_.expires_after(UpdateDelay);
-    updateTimer_.async_wait([this](const boost::system::error_code &error) {
-        if (error)
-            return;
-        broadcastEndpointUpdate();
-        runLeaderTasks();
-    });
-}
-
-void ControlProcess::recordHeardEndpoint(const EndpointId &endpoint)
-{
-    heardEndpoints_.insert(endpoint);
-}
-
-void ControlProcess::broadcastEndpointUpdate()
-{
-    isUpdateScheduled_ = false;
-    if (changedEndpoints_.empty() && heardEndpoints_.empty() && pendingEvidence_.isEmpty())
-        return;
-    const TimePoint now = RuntimeClock::now();
-    EndpointUpdate update;
-    for (const EndpointId &id : changedEndpoints_) {
-        if (const Endpoint *known = findEndpoint(endpointTable_, id))
-            update.changed.push_back(
-                    {known->report, toMilliseconds(now - known->lastHeard), known->isLeaving});
-    }
-    for (const EndpointId &id : heardEndpoints_) {
-        const Endpoint *known = findEndpoint(endpointTable_, id);
-        if (known && !changedEndpoints_.contains(id))
-            update.heard.push_back(
-                    {id, known->report.startedAtMs, toMilliseconds(now - known->lastHeard)});
-    }
-    update.partEvidence = std::exchange(pendingEvidence_, {});
-    changedEndpoints_.clear();
-    heardEndpoints_.clear();
-    broadcast(update);
-}
-
-EndpointUpdate ControlProcess::makeFullUpdate() const
-{
-    EndpointUpdate update;
-    const TimePoint now = RuntimeClock::now();
-    for (const auto &[id, known] : endpointTable_.endpoints)
-        update.changed.push_back(
-                {known.report, toMilliseconds(now - known.lastHeard), known.isLeaving});
-    update.partEvidence = allEvidence(quarantine_, now);
-    return update;
-}
-
-void ControlProcess::handleEndpointUpdate(const EndpointUpdate &update)
-{
-    const TimePoint now = RuntimeClock::now();
-    PartEvidence news = mergeEvidence(quarantine_, update.partEvidence, now);
-    if (!news.isEmpty()) {
-        appendEvidence(pendingEvidence_, std::move(news));
-        scheduleEndpointUpdate();
-    }
-    if (update.changed.empty() && update.heard.empty())
-        return;
-    applyEndpointUpdate(endpointTable_, update, currentConfiguration(), now);
-    nextPlanAt_ = TimePoint{};
-}
-
 ServerResponse ControlProcess::makeErrorResponse(std::uint32_t status,
                                                  const std::string &text) const
 {
@@ -509,10 +385,16 @@
 {
     const SystemCall call = dialect_.parseCall(request.head.method, request.head.target);
     switch (call.kind) {
-    case CallKind::Heartbeat:
-        co_return handleHeartbeat(call, request.body);
-    case CallKind::Departure:
-        co_return handleDeparture(call, request.body);
+    case CallKind::Heartbeat: {
+        ServerResponse response =
+                co_await reports_.handleHeartbeat(call.endpoint, std::move(request.body));
+        co_return response;
+    }
+    case CallKind::Departure: {
+        ServerResponse response =
+                co_await reports_.handleDeparture(call.endpoint, std::move(request.body));
+        co_return response;
+    }
     case CallKind::ReadConfiguration:
         co_return readConfiguration(request);
     case CallKind::PublishConfiguration: {
@@ -628,12 +510,12 @@
         bool isApplied = false;
     };
     auto pending = std::make_shared<PendingPublication>(context_.get_executor());
-    const bool isProposed =
-            seat_->publish(version, compressDocument(request.body), [pending](bool isApplied) {
-                pending->isDone = true;
-                pending->isApplied = isApplied;
-                pending->signal.notify();
-            });
+    const bool isProposed = seat_->propose(PublishServices{version, compressDocument(request.body)},
+                                           [pending](bool isApplied) {
+                                               pending->isDone = true;
+                                               pending->isApplied = isApplied;
+                                               pending->signal.notify();
+                                           });
     const TimePoint deadline = RuntimeClock::now() + PublishTimeout;
     while (isProposed && !pending->isDone && RuntimeClock::now() < deadline)
         co_await pending->signal.wait(deadline);
@@ -654,8 +536,9 @@
     };
     std::size_t usableEndpoints = 0;
     const TimePoint now = RuntimeClock::now();
-    for (const auto &[id, endpoint] : endpointTable_.endpoints)
+    for (const auto &[id, endpoint] : reports_.table().endpoints)
         usableEndpoints += isUsable(endpoint, lossTimeout(), now) ? 1 : 0;
+    const DepartureTable &departures = reports_.table().departures;
     std::map<GroupState, int> groupsByStage;
     std::size_t groupedVms = 0;
     if (planner_) {
@@ -669,14 +552,16 @@
     gauge("term", static_cast<double>(seat_->term()));
     gauge("seats", static_cast<double>(seat_->seats().size()));
     gauge("links_accepted", static_cast<double>(acceptedLinks_.size()));
-    gauge("endpoints_known", static_cast<double>(endpointTable_.endpoints.size()));
+    gauge("endpoints_known", static_cast<double>(reports_.table().endpoints.size()));
     gauge("endpoints_usable", static_cast<double>(usableEndpoints));
+    gauge("departures_known", static_cast<double>(departures.byEndpoint.size()));
+    gauge("departures_not_committed", static_cast<double>(departures.notDurable.size()));
     gauge("vms_in_groups", static_cast<double>(groupedVms));
     gauge("groups_forming", groupsByStage[GroupState::Forming]);
     gauge("groups_opening", groupsByStage[GroupState::Opening]);
     gauge("groups_open", groupsByStage[GroupState::Open]);
     gauge("groups_closing", groupsByStage[GroupState::Closing]);
-    gauge("quarantined_part_sets", static_cast<double>(activeVerdictCount(quarantine_)));
+    gauge("quarantined_part_sets", static_cast<double>(activeVerdictCount(reports_.quarantine())));
     gauge("orders_sent_total", static_cast<double>(ordersSent_));
     gauge("orders_unanswered_total", static_cast<double>(ordersUnanswered_));
     gauge("entry_lists_total", static_cast<double>(entryListRequests_));
@@ -705,7 +590,7 @@
             logEvent(Event::ConfigurationRefused, {{"version", std::to_string(services.version)},
                                                    {"findings", InvalidDocumentFinding}});
         if (isFirst && decodedConfiguration_)
-            removeUnknownServices(endpointTable_, *decodedConfiguration_);
+            removeUnknownServices(reports_.table(), *decodedConfiguration_);
     }
     return decodedConfiguration_ ? &*decodedConfiguration_ : nullptr;
 }
@@ -750,7 +635,7 @@
             slots = std::max(slots, head.slots);
         }
     }
-    for (GroupOrder &order : planGroups(*planner_, endpointTable_, *config, now)) {
+    for (GroupOrder &order : planGroups(*planner_, reports_.table(), *config, now)) {
         logEvent(Event::GroupOrdered, {{"order", toString(order.kind)},
                                        {"endpoint", order.endpoint},
                                        {"group", order.group},
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -3,13 +3,13 @@
 #include "libgateway/controllinks.h"
 #include "libgateway/controlseatkeeper.h"
 #include "libgateway/endpointpool.h"
+#include "libgateway/endpointreports.h"
 #include "libgateway/gatewaysettings.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace Trefoil {
@@ -34,6 +34,7 @@
 
 private:
     void tick();
+    EndpointReports::Handlers makeReportHandlers();
 
     // Links to entries and other control VMs.
     void acceptLink(ChannelPointer channel);
@@ -54,24 +55,6 @@
     void sendRaftMessage(RaftMessage message);
     void handleSeatChange();
 
-    // Heartbeats of endpoints and the updates that pass them on.
-    ServerResponse handleHeartbeat(const SystemCall &call, const std::string &body);
-    ServerResponse handleDeparture(const SystemCall &call, const std::string &body);
-
-    // Logs the change and schedules an update to all accepted links and a run of the leader tasks.
-    void announceEndpointChange(const EndpointId &endpoint);
-    void recordHeardEndpoint(const EndpointId &endpoint);
-
-    // Broadcasts an update after a short delay, so that it contains further changes.
-    void scheduleEndpointUpdate();
-
-    // Sends all accepted links the endpoints that changed or sent a heartbeat since the last
-    // update.
-    void broadcastEndpointUpdate();
-
-    EndpointUpdate makeFullUpdate() const;
-    void handleEndpointUpdate(const EndpointUpdate &update);
-
     // Requests on the listen addresses.
     boost::asio::awaitable<ServerResponse> handleControlRequest(ServerRequest request);
     boost::asio::awaitable<ServerResponse> handleMetricsRequest(ServerRequest request);
@@ -105,7 +88,6 @@
     std::unique_ptr<ChannelListener> entryListListener_;
     std::unique_ptr<ChannelListener> metricsListener_;
     RuntimeTimer tickTimer_;
-    RuntimeTimer updateTimer_;
 
     // Links that this process opened to other control VMs.
     ControlLinks controlLinks_;
@@ -118,20 +100,8 @@
     // Entries that are or were connected to a control VM.
     EntryRoster roster_;
 
-    EndpointTable endpointTable_;
-
-    // Endpoints that the next update contains.
-    std::set<EndpointId> changedEndpoints_;
-    std::set<EndpointId> heardEndpoints_;
-
-    // Evidence about parts of prompts of all entries, kept for entries that start.
-    PartQuarantine quarantine_;
-
-    // Evidence that the next update contains.
-    PartEvidence pendingEvidence_;
+    EndpointReports reports_;
 
-    bool isUpdateScheduled_ = false;
-    TimePoint nextHeardUpdateAt_{};
     TimePoint nextHelloAt_{};
     TimePoint startedAt_{};
     TimePoint nextPlanAt_{};
--- a/src/libgateway/controlseatkeeper.cpp
+++ b/src/libgateway/controlseatkeeper.cpp
@@ -77,6 +77,11 @@
                  {{"seat", std::to_string(recovered.seat)},
                   {"entries", std::to_string(recovered.entries.size())},
                   {"version", std::to_string(seat_->control.config.services.version)}});
+        std::vector<DepartedEndpoint> departures;
+        for (const auto &[endpoint, departure] : seat_->control.departures)
+            departures.push_back(departure);
+        reportDepartures(departures, true);
+        reportDepartures(departuresInEntries(recovered.entries), false);
     } catch (const DiskError &error) {
         seat_.reset();
         nextRecoveryAt_ = RuntimeClock::now() + RecoveryDelay;
@@ -107,16 +112,17 @@
     processOutput(out);
 }
 
-bool ControlSeatKeeper::publish(std::uint64_t version, std::string document, PublishHandler onDone)
+bool ControlSeatKeeper::propose(Command command, ProposalHandler onDone)
 {
     if (!seat_)
         return false;
     Proposal proposal;
-    proposal.command = PublishServices{version, std::move(document)};
+    proposal.wallTimeMs = wallTimeMs();
+    proposal.command = std::move(command);
     ControlSeatOutput out;
     const auto proposalId = proposeCommand(*seat_, proposal, RuntimeClock::now(), out);
     if (proposalId)
-        pendingPublishes_[*proposalId] = std::move(onDone);
+        pendingProposals_[*proposalId] = std::move(onDone);
     processOutput(out);
     return proposalId.has_value();
 }
@@ -132,21 +138,33 @@
 
 void ControlSeatKeeper::processOutput(ControlSeatOutput &out)
 {
+    // A departure is passed on before it is committed, so that entries know of it even if the
+    // leader is lost as soon as it has acknowledged it.
+    for (const SeatDiskWork &work : out.disk)
+        reportDepartures(departuresInEntries(work.write.append), false);
+    reportDepartures(out.departures, true);
     for (RaftMessage &message : out.send)
         handlers_.sendMessage(std::move(message));
     for (SeatDiskWork &work : out.disk)
         writeToDisk(std::move(work));
     for (const ProposalResult &result : out.results) {
-        const auto found = pendingPublishes_.find(result.proposalId);
-        if (found == pendingPublishes_.end())
+        const auto found = pendingProposals_.find(result.proposalId);
+        if (found == pendingProposals_.end())
             continue;
-        const PublishHandler onDone = std::move(found->second);
-        pendingPublishes_.erase(found);
+        const ProposalHandler onDone = std::move(found->second);
+        pendingProposals_.erase(found);
         onDone(result.isApplied);
     }
     handlers_.onChanged();
 }
 
+void ControlSeatKeeper::reportDepartures(std::span<const DepartedEndpoint> departures,
+                                         bool isCommitted)
+{
+    if (!departures.empty())
+        handlers_.onDepartures(departures, isCommitted);
+}
+
 void ControlSeatKeeper::writeToDisk(SeatDiskWork work)
 {
     auto shared = std::make_shared<SeatDiskWork>(std::move(work));
@@ -196,7 +214,7 @@
     // The disk thread may still have queued writes to skip; the store is reopened after them.
     isDiskQueueEmpty_ = false;
     diskThread_.post([this] { boost::asio::post(context_, [this] { isDiskQueueEmpty_ = true; }); });
-    const auto lost = std::exchange(pendingPublishes_, {});
+    const auto lost = std::exchange(pendingProposals_, {});
     for (const auto &[proposalId, onDone] : lost)
         onDone(false);
     handlers_.onChanged();
--- a/src/libgateway/controlseatkeeper.h
+++ b/src/libgateway/controlseatkeeper.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 
 namespace Trefoil {
@@ -26,8 +27,12 @@
 
         // Called when the role or the applied state may have changed.
         std::function<void()> onChanged;
+
+        // Called with the departures that the log received or recovered, and again once they are
+        // committed.
+        std::function<void(std::span<const DepartedEndpoint>, bool isCommitted)> onDepartures;
     };
-    using PublishHandler = std::function<void(bool isApplied)>;
+    using ProposalHandler = std::function<void(bool isApplied)>;
 
     // Recovers the seat from the data folder. A disk error is logged and recovery is tried again.
     ControlSeatKeeper(boost::asio::io_context &context, const GatewaySettings &settings,
@@ -37,9 +42,9 @@
     void tick();
     void receive(const RaftMessage &message);
 
-    // Appends a configuration to the log and calls `onDone` once it is applied or lost. Returns
-    // false when this seat does not lead.
-    bool publish(std::uint64_t version, std::string document, PublishHandler onDone);
+    // Appends a command to the log and calls `onDone` once it is applied or lost. Returns false
+    // when this seat does not lead.
+    bool propose(Command command, ProposalHandler onDone);
     void changeSeats(SeatSet seats);
 
     bool isActingLeader() const;
@@ -54,6 +59,7 @@
 private:
     void recover();
     void processOutput(ControlSeatOutput &out);
+    void reportDepartures(std::span<const DepartedEndpoint> departures, bool isCommitted);
     void writeToDisk(SeatDiskWork work);
     void handleSynced(std::uint64_t recovery, std::vector<RaftMessage> messages, LogIndex index,
                       Term term);
@@ -84,7 +90,7 @@
     bool isDiskQueueEmpty_ = true;
 
     // Handlers of proposals that are not applied yet, by the id of the proposal.
-    std::map<std::uint64_t, PublishHandler> pendingPublishes_;
+    std::map<std::uint64_t, ProposalHandler> pendingProposals_;
 };
 
 } // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/endpointreports.cpp
@@ -0,0 +1,316 @@
+#include "libgateway/endpointreports.h"
+
+#include "libruntime/clock.h"
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Changes that occur within this time are sent in one message.
+constexpr auto UpdateDelay = std::chrono::milliseconds(5);
+
+constexpr auto HeardUpdateInterval = std::chrono::milliseconds(500);
+constexpr auto ExpiryInterval = std::chrono::milliseconds(500);
+constexpr auto EndpointRetention = std::chrono::minutes(5);
+
+// Like those of the replicated log, see ControlLimits.
+constexpr auto DepartureRetention = std::chrono::hours(1);
+constexpr std::size_t MaxDepartures = 10'000;
+
+// Endpoints turn to another control VM when they have waited one second for an answer.
+constexpr auto ConfirmationTimeout = std::chrono::milliseconds(850);
+
+constexpr std::size_t MaxDeparturesPerProposal = 1000;
+constexpr std::size_t MaxEndpointIdBytes = 256;
+
+constexpr const char *UnconfirmedDeparture = "the departure could not be confirmed";
+
+std::uint32_t toMilliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(
+            std::max<std::int64_t>(duration / std::chrono::milliseconds(1), 0));
+}
+
+std::string joinTexts(std::span<const std::string> texts)
+{
+    std::string joined;
+    for (const std::string &text : texts)
+        joined += (joined.empty() ? "" : ",") + text;
+    return joined;
+}
+
+// Returns an age that fits into a notice.
+std::uint32_t toNoticeAge(std::uint64_t ageMs)
+{
+    return static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(ageMs, std::numeric_limits<std::uint32_t>::max()));
+}
+
+} // namespace
+
+EndpointReports::EndpointReports(asio::io_context &context, const Dialect &dialect,
+                                 Handlers handlers)
+    : context_(context)
+    , dialect_(dialect)
+    , handlers_(std::move(handlers))
+    , updateTimer_(context)
+{}
+
+asio::awaitable<ServerResponse> EndpointReports::handleHeartbeat(EndpointId endpoint,
+                                                                 std::string body)
+{
+    auto decoded = dialect_.decodeHeartbeat(endpoint, body);
+    if (const auto *error = std::get_if<std::string>(&decoded)) {
+        logEvent(Event::EndpointReportInvalid, {{"endpoint", endpoint}, {"error", *error}});
+        co_return makeErrorResponse(400, *error);
+    }
+    const auto &report = std::get<EndpointReport>(decoded);
+    const bool isAccepted = applyHeartbeat(report);
+    if (isAccepted && report.isDraining) {
+        const bool isConfirmed = co_await confirmDeparture(report.id, report.startedAtMs);
+        if (!isConfirmed)
+            co_return makeErrorResponse(503, UnconfirmedDeparture);
+    }
+    ServerResponse response;
+    response.body = dialect_.encodeHeartbeatReply(handlers_.reportAddress());
+    co_return response;
+}
+
+// A report of a service that is not configured is acknowledged but ignored: it may come from an
+// unrelated program and must not replace the endpoint at its address. A control VM that has just
+// started has no configuration yet and applies all reports, because without endpoints its entries
+// could not serve any request.
+bool EndpointReports::applyHeartbeat(const EndpointReport &report)
+{
+    const ServiceConfiguration *config = handlers_.configuration();
+    if (config && !findService(*config, report.service)) {
+        logEvent(Event::EndpointReportInvalid,
+                 {{"endpoint", report.id}, {"error", "unknown service " + report.service}});
+        return false;
+    }
+    if (report.isDraining)
+        recordNotice({report.id, report.startedAtMs}, "report");
+    const ReportOutcome outcome =
+            applyReport(table_, report, Duration::zero(), RuntimeClock::now());
+    if (outcome == ReportOutcome::Changed)
+        announceChange(report.id);
+    else if (outcome == ReportOutcome::Refreshed)
+        heardEndpoints_.insert(report.id);
+    return true;
+}
+
+asio::awaitable<ServerResponse> EndpointReports::handleDeparture(EndpointId endpoint,
+                                                                 std::string body)
+{
+    if (endpoint.empty() || endpoint.size() > MaxEndpointIdBytes)
+        co_return makeErrorResponse(400, "the endpoint's id is empty or too long");
+    std::uint64_t startedAtMs = dialect_.decodeDeparture(body);
+    const Endpoint *known = findEndpoint(table_, endpoint);
+    if (startedAtMs == 0 && known)
+        startedAtMs = known->report.startedAtMs;
+    recordNotice({endpoint, startedAtMs}, "departure");
+    const bool isConfirmed = co_await confirmDeparture(endpoint, startedAtMs);
+    if (!isConfirmed)
+        co_return makeErrorResponse(503, UnconfirmedDeparture);
+    ServerResponse response;
+    response.body = dialect_.encodeHeartbeatReply({});
+    co_return response;
+}
+
+asio::awaitable<bool> EndpointReports::confirmDeparture(EndpointId endpoint,
+                                                        std::uint64_t startedAtMs)
+{
+    proposeDepartures();
+    const TimePoint deadline = RuntimeClock::now() + ConfirmationTimeout;
+    const auto isDurable = [&] {
+        return hasDurableDeparture(table_.departures, endpoint, startedAtMs);
+    };
+    AsyncCondition signal(context_.get_executor());
+    waiters_.insert(&signal);
+    while (!isDurable() && RuntimeClock::now() < deadline)
+        co_await signal.wait(deadline);
+    waiters_.erase(&signal);
+    co_return isDurable();
+}
+
+// Applies a notice, logs what it changes and schedules that the news are passed on.
+void EndpointReports::recordNotice(const DepartureNotice &notice, const char *source)
+{
+    const DepartureOutcome outcome = applyDeparture(table_, notice, RuntimeClock::now());
+    if (outcome == DepartureOutcome::Known)
+        return;
+    const bool isDurable =
+            hasDurableDeparture(table_.departures, notice.endpoint, notice.startedAtMs);
+    logEvent(Event::EndpointDeparted, {{"endpoint", notice.endpoint},
+                                       {"started", std::to_string(notice.startedAtMs)},
+                                       {"committed", isDurable ? "yes" : "no"},
+                                       {"source", source}});
+    changedDepartures_.insert(notice.endpoint);
+    scheduleUpdate();
+    if (isDurable)
+        notifyWaiters();
+}
+
+// Proposes all departures that are not committed, unless a proposal is open. The next one then
+// contains those that came in the meantime.
+void EndpointReports::proposeDepartures()
+{
+    if (isProposalOpen_ || table_.departures.notDurable.empty())
+        return;
+    const TimePoint now = RuntimeClock::now();
+    const std::uint64_t nowMs = wallTimeMs();
+    RecordDepartures command;
+    for (const EndpointId &id : table_.departures.notDurable) {
+        if (command.departures.size() == MaxDeparturesPerProposal)
+            break;
+        const DepartureNotice notice = makeDepartureNotice(table_.departures, id, now);
+        command.departures.push_back({id, notice.startedAtMs, nowMs - notice.ageMs});
+    }
+    isProposalOpen_ = true;
+    const bool isProposed = handlers_.propose(std::move(command), [this](bool /*isApplied*/) {
+        isProposalOpen_ = false;
+        // The departures of this proposal that were lost are proposed again by tick().
+    });
+    if (!isProposed)
+        isProposalOpen_ = false;
+}
+
+void EndpointReports::notifyWaiters()
+{
+    for (AsyncCondition *signal : waiters_)
+        signal->notify();
+}
+
+void EndpointReports::applyUpdate(const EndpointUpdate &update)
+{
+    const TimePoint now = RuntimeClock::now();
+    PartEvidence news = mergeEvidence(quarantine_, update.partEvidence, now);
+    if (!news.isEmpty()) {
+        appendEvidence(pendingEvidence_, std::move(news));
+        scheduleUpdate();
+    }
+    for (const DepartureNotice &notice : update.departures)
+        recordNotice(notice, "link");
+    if (update.changed.empty() && update.heard.empty())
+        return;
+    applyEndpointUpdate(table_, update, handlers_.configuration(), now);
+    handlers_.onChanged();
+}
+
+void EndpointReports::applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted)
+{
+    const std::uint64_t nowMs = wallTimeMs();
+    for (const DepartedEndpoint &departure : departures) {
+        const std::uint64_t ageMs = nowMs - std::min(nowMs, departure.departedAtMs);
+        recordNotice({departure.endpoint, departure.startedAtMs, toNoticeAge(ageMs), isCommitted},
+                     "log");
+    }
+}
+
+void EndpointReports::tick(TimePoint now)
+{
+    proposeDepartures();
+    if (now >= nextExpiryAt_) {
+        nextExpiryAt_ = now + ExpiryInterval;
+        removeExpiredEndpoints(table_, EndpointRetention, now);
+        removeExpiredDepartures(table_.departures, DepartureRetention, MaxDepartures, now);
+        removeExpiredEvidence(quarantine_, now);
+    }
+    if (now >= nextHeardUpdateAt_) {
+        nextHeardUpdateAt_ = now + HeardUpdateInterval;
+        sendUpdate();
+    }
+}
+
+void EndpointReports::announceChange(const EndpointId &endpoint)
+{
+    const Endpoint *known = findEndpoint(table_, endpoint);
+    const auto &membership = known->report.membership;
+    logEvent(Event::EndpointChanged,
+             {{"endpoint", endpoint},
+              {"service", known->report.service},
+              {"address", known->report.address},
+              {"draining", known->report.isDraining ? "yes" : "no"},
+              {"left", known->isLeaving ? "yes" : "no"},
+              {"fabric", known->report.fabric},
+              {"staged", joinTexts(known->report.stagedModels)},
+              {"group", membership ? membership->group : ""},
+              {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
+    changedEndpoints_.insert(endpoint);
+    scheduleUpdate();
+}
+
+void EndpointReports::scheduleUpdate()
+{
+    handlers_.onChanged();
+    if (isUpdateScheduled_)
+        return;
+    isUpdateScheduled_ = true;
+    updateTimer_.expires_after(UpdateDelay);
+    updateTimer_.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        sendUpdate();
+        handlers_.onChangeSent();
+    });
+}
+
+void EndpointReports::sendUpdate()
+{
+    isUpdateScheduled_ = false;
+    const bool isEmpty = changedEndpoints_.empty() && heardEndpoints_.empty()
+                         && changedDepartures_.empty() && pendingEvidence_.isEmpty();
+    if (isEmpty)
+        return;
+    const TimePoint now = RuntimeClock::now();
+    EndpointUpdate update;
+    for (const EndpointId &id : changedEndpoints_) {
+        if (const Endpoint *known = findEndpoint(table_, id))
+            update.changed.push_back(
+                    {known->report, toMilliseconds(now - known->lastHeard), known->isLeaving});
+    }
+    for (const EndpointId &id : heardEndpoints_) {
+        const Endpoint *known = findEndpoint(table_, id);
+        if (known && !changedEndpoints_.contains(id))
+            update.heard.push_back(
+                    {id, known->report.startedAtMs, toMilliseconds(now - known->lastHeard)});
+    }
+    for (const EndpointId &id : changedDepartures_) {
+        if (table_.departures.byEndpoint.contains(id))
+            update.departures.push_back(makeDepartureNotice(table_.departures, id, now));
+    }
+    update.partEvidence = std::exchange(pendingEvidence_, {});
+    changedEndpoints_.clear();
+    heardEndpoints_.clear();
+    changedDepartures_.clear();
+    handlers_.broadcast(update);
+}
+
+EndpointUpdate EndpointReports::makeFullUpdate() const
+{
+    EndpointUpdate update;
+    const TimePoint now = RuntimeClock::now();
+    for (const auto &[id, known] : table_.endpoints)
+        update.changed.push_back(
+                {known.report, toMilliseconds(now - known.lastHeard), known.isLeaving});
+    update.partEvidence = allEvidence(quarantine_, now);
+    update.departures = makeDepartureNotices(table_.departures, now);
+    return update;
+}
+
+ServerResponse EndpointReports::makeErrorResponse(std::uint32_t status,
+                                                  const std::string &text) const
+{
+    ServerResponse response;
+    response.status = status;
+    response.body = dialect_.encodeError(text);
+    return response;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/src/libgateway/endpointreports.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "libfleet/fleet.h"
+#include "libgateway/endpointpool.h"
+#include "libgateway/linkmessages.h"
+#include "libruntime/signal.h"
+#include "libserving/commands.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Trefoil {
+
+// Receives the reports and departures of endpoints at a control VM, and passes on what changes to
+// all nodes that are linked to it. A departure is acknowledged only once it is committed in the
+// replicated log, so that neither the end of this process nor a restart of all can undo it.
+class EndpointReports
+{
+public:
+    struct Handlers
+    {
+        // Returns the configuration in force, or null.
+        std::function<const ServiceConfiguration *()> configuration;
+
+        // Returns where endpoints send their next reports, empty for this control VM.
+        std::function<std::string()> reportAddress;
+
+        // Appends departures to the log and later calls the function, whether they were committed
+        // or not. Returns false when this seat does not lead.
+        std::function<bool(RecordDepartures, std::function<void(bool isApplied)>)> propose;
+
+        std::function<void(const LinkMessage &)> broadcast;
+
+        // Called when the table has changed, and shortly after it, once the change was sent.
+        std::function<void()> onChanged;
+        std::function<void()> onChangeSent;
+    };
+
+    EndpointReports(boost::asio::io_context &context, const Dialect &dialect, Handlers handlers);
+
+    EndpointTable &table() { return table_; }
+    const EndpointTable &table() const { return table_; }
+    PartQuarantine &quarantine() { return quarantine_; }
+    const PartQuarantine &quarantine() const { return quarantine_; }
+
+    boost::asio::awaitable<ServerResponse> handleHeartbeat(EndpointId endpoint, std::string body);
+    boost::asio::awaitable<ServerResponse> handleDeparture(EndpointId endpoint, std::string body);
+
+    // Applies the update of a control VM or an entry.
+    void applyUpdate(const EndpointUpdate &update);
+
+    // Applies departures that are in the log.
+    void applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted);
+
+    // Sends signs of life when they are due and proposes departures that are not committed. Called
+    // regularly.
+    void tick(TimePoint now);
+
+    // Returns all that a new link should know.
+    EndpointUpdate makeFullUpdate() const;
+
+private:
+    // Applies a report that an endpoint sent here. Returns false when it is ignored.
+    bool applyHeartbeat(const EndpointReport &report);
+
+    // Waits until a recorded departure is committed. Returns false after a time within which the
+    // endpoint expects the answer.
+    boost::asio::awaitable<bool> confirmDeparture(EndpointId endpoint, std::uint64_t startedAtMs);
+
+    void recordNotice(const DepartureNotice &notice, const char *source);
+    void proposeDepartures();
+    void notifyWaiters();
+
+    // Logs the change and schedules an update to all links.
+    void announceChange(const EndpointId &endpoint);
+
+    // Sends an update after a short delay, so that it contains further changes.
+    void scheduleUpdate();
+    void sendUpdate();
+
+    ServerResponse makeErrorResponse(std::uint32_t status, const std::string &text) const;
+
+    boost::asio::io_context &context_;
+    const Dialect &dialect_;
+    Handlers handlers_;
+    EndpointTable table_;
+
+    // Evidence about parts of prompts of all entries, kept for entries that start.
+    PartQuarantine quarantine_;
+
+    // Content of the next update.
+    std::set<EndpointId> changedEndpoints_;
+    std::set<EndpointId> heardEndpoints_;
+    std::set<EndpointId> changedDepartures_;
+    PartEvidence pendingEvidence_;
+
+    RuntimeTimer updateTimer_;
+    bool isUpdateScheduled_ = false;
+    TimePoint nextHeardUpdateAt_{};
+    TimePoint nextExpiryAt_{};
+
+    // Whether departures were proposed whose outcome is open.
+    bool isProposalOpen_ = false;
+
+    // Calls that wait for the commit of a departure.
+    std::set<AsyncCondition *> waiters_;
+};
+
+} // namespace Trefoil
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/entryprocess.h"
 
 #include "libgateway/documentpacking.h"
+#include "libgateway/entrydepartures.h"
 #include "libgateway/entrylimits.h"
 #include "libgateway/entryquarantine.h"
 #include "libgateway/relaysession.h"
@@ -204,6 +205,7 @@
         std::erase_if(state_.lastProgressAt,
                       [now](const auto &item) { return now - item.second > ProgressRetention; });
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
+        removeExpiredDepartures(state_, now);
         removeUnknownLimits(state_.placement.limits, state_.placement.table, now);
         std::erase_if(state_.invalidLimits, [this](const auto &item) {
             return !findEndpoint(state_.placement.table, item.first);
@@ -230,6 +232,7 @@
     if (!control)
         return;
     if (auto *update = std::get_if<EndpointUpdate>(&message)) {
+        applyDepartures(state_, update->departures);
         applyEndpointUpdate(state_.placement.table, *update, state_.config.get(),
                             RuntimeClock::now());
         applyEvidence(state_, update->partEvidence);
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-// Decodes a message of which up to three lists at the end may be missing.
+// Decodes a message of which up to four lists at the end may be missing.
 template <class Message>
 Message decodeWithMissingLists(std::string_view bytes)
 {
     // An empty list is encoded as eight zero bytes.
-    constexpr std::size_t maxMissingBytes = 3 * sizeof(std::uint64_t);
+    constexpr std::size_t maxMissingBytes = 4 * sizeof(std::uint64_t);
     return decode<Message>(std::string(bytes) + std::string(maxMissingBytes, '\0'));
 }
 
@@ -101,10 +101,16 @@
     archive(e.ends, e.answers, e.verdicts);
 }
 
+template <class Archive>
+void serialize(Archive &archive, DepartureNotice &n)
+{
+    archive(n.endpoint, n.startedAtMs, n.ageMs, n.isDurable);
+}
+
 template <class Archive>
 void serialize(Archive &archive, EndpointUpdate &u)
 {
-    archive(u.changed, u.heard, u.partEvidence);
+    archive(u.changed, u.heard, u.partEvidence, u.departures);
 }
 
 template <class Archive>
@@ -179,7 +185,7 @@
         const Duration age = std::chrono::milliseconds(changed.ageMs);
         applyReport(table, changed.report, age, now);
         if (changed.hasLeft)
-            applyDeparture(table, changed.report.id, changed.report.startedAtMs, now);
+            applyDeparture(table, {changed.report.id, changed.report.startedAtMs}, now);
     }
     for (const EndpointUpdate::HeardEndpoint &heard : update.heard)
         recordSignOfLife(table, heard.endpoint, heard.startedAtMs,
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -98,8 +98,10 @@
     std::vector<ChangedEndpoint> changed;
     std::vector<HeardEndpoint> heard;
 
-    // Entries send this field alone.
+    // Entries send only this field and the next one.
     PartEvidence partEvidence;
+
+    std::vector<DepartureNotice> departures;
 };
 
 // What a control VM knows of a connected node or of itself.
@@ -152,8 +154,8 @@
     std::string document;
 };
 
-// Merges the update of a control VM into `table`. Endpoints of services that are not configured are
-// skipped; without a configuration all are accepted.
+// Merges the reports and signs of life of an update into `table`. Endpoints of services that are
+// not configured are skipped; without a configuration all are accepted.
 void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
                          const ServiceConfiguration *config, TimePoint now);
 
--- a/src/libnode/controlseat.cpp
+++ b/src/libnode/controlseat.cpp
@@ -53,6 +53,9 @@
     CommandReply reply = applyProposal(seat.control, proposal, entry.index);
     if (seat.control.config.version == entry.index)
         out.configChanges.push_back({entry.index, proposal.command});
+    if (const auto *command = std::get_if<RecordDepartures>(&proposal.command))
+        out.departures.insert(out.departures.end(), command->departures.begin(),
+                              command->departures.end());
     return reply;
 }
 
@@ -82,6 +85,8 @@
     seat.appliedIndex = snapshot.index;
     out.configChanges.clear();
     out.restoredConfig = seat.control.config;
+    for (const auto &[endpoint, departure] : seat.control.departures)
+        out.departures.push_back(departure);
 }
 
 // Reports all pending proposals as not applied.
@@ -192,6 +197,19 @@
     return isLeaderReady(seat.raft) && hasLeaderLease(seat.raft, now);
 }
 
+std::vector<DepartedEndpoint> departuresInEntries(std::span<const LogEntry> entries)
+{
+    std::vector<DepartedEndpoint> departures;
+    for (const LogEntry &entry : entries) {
+        if (entry.kind != EntryKind::Command || !isDepartureProposal(entry.payload))
+            continue;
+        const Proposal proposal = decodeProposal(entry.payload);
+        const auto &command = std::get<RecordDepartures>(proposal.command);
+        departures.insert(departures.end(), command.departures.begin(), command.departures.end());
+    }
+    return departures;
+}
+
 SeatId initialSeatId(const EntryId &entry)
 {
     const std::string name = "initial seat of " + entry;
--- a/src/libnode/controlseat.h
+++ b/src/libnode/controlseat.h
@@ -60,7 +60,8 @@
     std::vector<RaftMessage> send;
     std::vector<SeatDiskWork> disk;
     std::vector<ProposalResult> results;
-    std::vector<FeedItem> configChanges; // newly applied changes of the configuration
+    std::vector<FeedItem> configChanges;      // newly applied changes of the configuration
+    std::vector<DepartedEndpoint> departures; // newly applied, or all of a snapshot
     // Configuration from a snapshot. It replaces the held one before `configChanges` are applied.
     std::optional<Configuration> restoredConfig;
 };
@@ -88,6 +89,10 @@
 // True while this seat leads, has committed an entry in its term and holds the leader lease.
 bool isActingLeader(const ControlSeatState &seat, TimePoint now);
 
+// Returns the departures in log entries, committed or not. An endpoint has announced each of them,
+// so they hold even if their entry is never committed.
+std::vector<DepartedEndpoint> departuresInEntries(std::span<const LogEntry> entries);
+
 // Ids and seats for the first start of a system. Every entry derives the same ones from the entry
 // ids.
 SeatId initialSeatId(const EntryId &entry);
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -55,6 +55,7 @@
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
         {Event::OrderAnswered, Info, "an engine answered an order"},
+        {Event::EndpointDeparted, Info, "an endpoint announced that it leaves"},
         {Event::ConfigurationPublished, Info, "a configuration was accepted"},
         {Event::ConfigurationRefused, Warning, "a configuration was refused"},
         {Event::ConfigurationApplied, Info, "a configuration is in force here"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -51,6 +51,7 @@
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
     OrderAnswered = 603,
+    EndpointDeparted = 604,
     ConfigurationPublished = 610,
     ConfigurationRefused = 611,
     ConfigurationApplied = 612,
--- a/src/libserving/commands.h
+++ b/src/libserving/commands.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 // Commands of the replicated log. They are the only way to change the control state, apart from
 // seat changes.
@@ -159,12 +160,31 @@
     std::uint64_t belowIncarnation = 0;
 };
 
+// The announcement of an endpoint that it leaves. It is final for that incarnation.
+struct DepartedEndpoint
+{
+    std::string endpoint;
+    // Unix time of the start of the incarnation. Earlier ones have ended.
+    std::uint64_t startedAtMs = 0;
+    // Wall clock of the VM that heard the announcement.
+    std::uint64_t departedAtMs = 0;
+
+    bool operator==(const DepartedEndpoint &) const = default;
+};
+
+// Stores departures, so that they are acknowledged only once no single VM can lose them.
+struct RecordDepartures
+{
+    std::vector<DepartedEndpoint> departures;
+};
+
 using Command = std::variant<SetWorkspace, RemoveWorkspace, SetDeployment, RemoveDeployment,
                              AnnounceVm, SetVmStatus, ForgetVm, FormGroup, DrainGroup, EndGroup,
                              SetDispatcher, SetEntryDraining, PublishServices, ClaimKey, FinishKey,
-                             ReleaseKey, AbandonKeys>;
+                             ReleaseKey, AbandonKeys, RecordDepartures>;
 
-// Returns true for commands that change the configuration, and false for idempotency key commands.
+// Returns true for commands that change the configuration, and false for idempotency keys and
+// departures.
 bool changesConfiguration(const Command &command);
 
 // Identifies an operator's command. A repeated identity gets the reply to the first command.
--- a/src/libserving/configuration.cpp
+++ b/src/libserving/configuration.cpp
@@ -181,11 +181,12 @@
         return makeAcceptance();
     }
 
-    // Idempotency key commands do not change the configuration.
+    // Idempotency keys and departures do not change the configuration.
     CommandReply operator()(const ClaimKey &) const { return makeAcceptance(); }
     CommandReply operator()(const FinishKey &) const { return makeAcceptance(); }
     CommandReply operator()(const ReleaseKey &) const { return makeAcceptance(); }
     CommandReply operator()(const AbandonKeys &) const { return makeAcceptance(); }
+    CommandReply operator()(const RecordDepartures &) const { return makeAcceptance(); }
 
 private:
     // Returns the known deployment, if any, with the fields that the command gives.
@@ -233,7 +234,8 @@
 {
     return !std::holds_alternative<ClaimKey>(command) && !std::holds_alternative<FinishKey>(command)
            && !std::holds_alternative<ReleaseKey>(command)
-           && !std::holds_alternative<AbandonKeys>(command);
+           && !std::holds_alternative<AbandonKeys>(command)
+           && !std::holds_alternative<RecordDepartures>(command);
 }
 
 CommandReply applyToConfiguration(Configuration &config, const Command &command, LogIndex index)
--- a/src/libserving/controlstate.cpp
+++ b/src/libserving/controlstate.cpp
@@ -213,8 +213,38 @@
     return found == replies->second.byNumber.end() ? nullptr : &found->second;
 }
 
+// Removes departures whose retention has ended and the oldest beyond the limit.
+void expireDepartures(ControlState &state)
+{
+    auto &departures = state.departures;
+    std::erase_if(departures, [&state](const auto &item) {
+        return item.second.departedAtMs + state.limits.departureRetentionMs <= state.wallTimeMs;
+    });
+    while (departures.size() > state.limits.departures) {
+        departures.erase(std::min_element(departures.begin(), departures.end(),
+                                          [](const auto &a, const auto &b) {
+                                              return a.second.departedAtMs < b.second.departedAtMs;
+                                          }));
+    }
+}
+
+CommandReply recordDepartures(ControlState &state, const RecordDepartures &command)
+{
+    for (const DepartedEndpoint &departure : command.departures) {
+        DepartedEndpoint &known = state.departures[departure.endpoint];
+        if (known.endpoint.empty() || known.startedAtMs < departure.startedAtMs)
+            known = departure;
+    }
+    expireDepartures(state);
+    CommandReply reply;
+    reply.version = state.config.version;
+    return reply;
+}
+
 CommandReply applyNewProposal(ControlState &state, const Proposal &proposal, LogIndex index)
 {
+    if (const auto *command = std::get_if<RecordDepartures>(&proposal.command))
+        return recordDepartures(state, *command);
     if (!changesConfiguration(proposal.command)) {
         CommandReply reply = std::visit(KeyVisitor{state}, proposal.command);
         reply.version = state.config.version;
--- a/src/libserving/controlstate.h
+++ b/src/libserving/controlstate.h
@@ -10,7 +10,8 @@
 #include <string>
 
 // The replicated state machine of the control plane: the configuration, the stored replies to
-// operators' commands and the idempotency keys. It is deterministic: applying the same log entries
+// operators' commands, the idempotency keys and the
+// departures of endpoints. It is deterministic: applying the same log entries
 // in the same order gives the same state on every seat.
 
 namespace Trefoil {
@@ -51,6 +52,9 @@
     std::size_t operators = 1000;
     std::size_t keys = 200'000;
     std::uint64_t keyRetentionMs = 24ull * 3600 * 1000;
+    // Reports of an endpoint that arrive later than this after its departure are not expected.
+    std::uint64_t departureRetentionMs = 3600ull * 1000;
+    std::size_t departures = 10'000;
     // The number of refused owners that are stored for each key.
     std::size_t maxRefusedOwners = 64;
     // Longer answers are recorded without their body.
@@ -69,6 +73,7 @@
     std::set<std::string> runningKeys;
     // The latest wall clock of a proposer. It never goes back.
     std::uint64_t wallTimeMs = 0;
+    std::map<std::string, DepartedEndpoint> departures; // by endpoint, the latest incarnation
 };
 
 // Applies the committed proposal at log index `index`.
--- a/src/libserving/peercodec.cpp
+++ b/src/libserving/peercodec.cpp
@@ -17,6 +17,14 @@
 // The first byte of an encoded proposal tells whether its command changes the configuration.
 constexpr char ConfigurationTag = 'C';
 constexpr char KeyTag = 'K';
+constexpr char DepartureTag = 'D';
+
+char tagOf(const Command &command)
+{
+    if (std::holds_alternative<RecordDepartures>(command))
+        return DepartureTag;
+    return changesConfiguration(command) ? ConfigurationTag : KeyTag;
+}
 
 } // namespace
 
@@ -233,11 +241,23 @@
     archive(record.digest, record.claimedAtMs, record.result, record.refusedOwners);
 }
 
+template <class Archive>
+void serialize(Archive &archive, DepartedEndpoint &departure)
+{
+    archive(departure.endpoint, departure.startedAtMs, departure.departedAtMs);
+}
+
+template <class Archive>
+void serialize(Archive &archive, RecordDepartures &command)
+{
+    archive(command.departures);
+}
+
 template <class Archive>
 void serialize(Archive &archive, ControlState &state)
 {
     archive(state.config, state.replies, state.operatorsByFirstUse, state.keys,
-            state.keysByClaimTime, state.runningKeys, state.wallTimeMs);
+            state.keysByClaimTime, state.runningKeys, state.wallTimeMs, state.departures);
 }
 
 template <class Archive>
@@ -473,8 +493,7 @@
 
 std::string encodeProposal(const Proposal &proposal)
 {
-    const char tag = changesConfiguration(proposal.command) ? ConfigurationTag : KeyTag;
-    return tag + encode(proposal);
+    return tagOf(proposal.command) + encode(proposal);
 }
 
 Proposal decodeProposal(std::string_view bytes)
@@ -487,6 +506,11 @@
     return !bytes.empty() && bytes.front() == ConfigurationTag;
 }
 
+bool isDepartureProposal(std::string_view bytes)
+{
+    return !bytes.empty() && bytes.front() == DepartureTag;
+}
+
 std::string encodeConfiguration(const Configuration &config)
 {
     return encode(config);
@@ -504,7 +528,9 @@
 
 ControlState decodeControlState(std::string_view bytes)
 {
-    return decode<ControlState>(bytes);
+    // Snapshots of earlier versions end before the departures. An empty map is encoded as eight
+    // zero bytes.
+    return decode<ControlState>(std::string(bytes) + std::string(sizeof(std::uint64_t), '\0'));
 }
 
 } // namespace Trefoil
--- a/src/libserving/peermessage.h
+++ b/src/libserving/peermessage.h
@@ -181,6 +181,9 @@
 // Returns true when the command of an encoded proposal changes the configuration.
 bool isConfigurationProposal(std::string_view bytes);
 
+// Returns true when the command of an encoded proposal records departures.
+bool isDepartureProposal(std::string_view bytes);
+
 std::string encodeConfiguration(const Configuration &config);
 Configuration decodeConfiguration(std::string_view bytes);
 
--- a/tests/fuzz_control.cpp
+++ b/tests/fuzz_control.cpp
@@ -15,6 +15,7 @@
 enum class Action {
     Advance,
     Propose,
+    ProposeDeparture,
     CheckLeaseRead,
     BlockLinkOneWay,
     BlockLinkBothWays,
@@ -48,6 +49,7 @@
     const auto action = rc::gen::weightedElement<Action>({
             {8, Action::Advance},
             {16, Action::Propose},
+            {3, Action::ProposeDeparture},
             {4, Action::CheckLeaseRead},
             {2, Action::BlockLinkOneWay},
             {2, Action::BlockLinkBothWays},
@@ -77,6 +79,9 @@
         cluster.propose(step.secondArgument % 2 == 0 ? "ann" : "bob", step.secondArgument / 2 % 12,
                         step.firstArgument % 2);
         break;
+    case Action::ProposeDeparture:
+        cluster.proposeDeparture(step.firstArgument);
+        break;
     case Action::CheckLeaseRead:
         cluster.checkLeaseRead(step.firstArgument);
         break;
@@ -119,7 +124,7 @@
 } // namespace
 
 // Commands are proposed while seats crash, pause, lose data, are replaced and lose messages.
-// Accepted commands must survive, and a resend must get the first reply.
+// Accepted commands and departures must survive, and a resend must get the first reply.
 BOOST_AUTO_TEST_CASE(acceptedCommandIsLostOrLeadersOverlap)
 {
     const bool passed = rc::check("control state under faults", [] {
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -37,6 +37,12 @@
 constexpr auto MinLimitTime = seconds(2);
 constexpr auto MaxLimitTime = seconds(8);
 
+// Pause between two departures, and the time that an endpoint still serves after its own.
+constexpr auto MinDepartureInterval = milliseconds(500);
+constexpr auto MaxDepartureInterval = seconds(4);
+constexpr auto MinLingerTime = seconds(3);
+constexpr auto MaxLingerTime = seconds(8);
+
 // Counts the active faults, so that no more control VMs fail at the same time than the settings
 // tolerate.
 struct ActiveFaults
@@ -199,6 +205,71 @@
         co_await injectEndpointFault(soak, duration);
 }
 
+// Kills or pauses the control VM that has just acknowledged a departure.
+asio::awaitable<void> disturbNode(SoakState &soak, ActiveFaults &active, SoakNode &node,
+                                  Duration duration)
+{
+    if (!node.shouldRun || node.isPaused || active.controlNodes > 0)
+        co_return;
+    ++active.controlNodes;
+    if (randomBelow(soak, 2) == 0)
+        co_await restartNode(soak, node, SIGKILL, false, duration);
+    else
+        co_await pauseNode(soak, node, duration);
+    --active.controlNodes;
+}
+
+// Lets the endpoint announce that it leaves, serve on, and end. The control VM that acknowledges
+// it, or all of them, may be lost at that moment, and a report that was made before may arrive
+// late.
+asio::awaitable<void> departEndpoint(SoakState &soak, ActiveFaults &active, SoakEndpoint &endpoint)
+{
+    const std::uint64_t incarnation = endpoint.incarnation;
+    const EndpointReport earlier = findReport(soak, endpoint);
+    const Duration duration = randomDuration(soak, MinFaultDuration, MaxFaultDuration);
+    SoakNode *acknowledgedBy =
+            co_await announceDeparture(soak, endpoint, randomBelow(soak, 2) == 0);
+    if (endpoint.incarnation != incarnation)
+        co_return;
+    if (acknowledgedBy) {
+        endpoint.departedAt = RuntimeClock::now();
+        ++soak.counts.departures;
+        logFault(soak,
+                 "the departure of " + endpoint.id + " is acknowledged by " + acknowledgedBy->name);
+        const std::uint64_t draw = randomBelow(soak, 4);
+        if (draw < 2)
+            co_await disturbNode(soak, active, *acknowledgedBy, duration);
+        else if (draw == 2)
+            co_await killControlNodes(soak, active, duration / 2);
+    }
+    co_await sleepFor(randomDuration(soak, MinLingerTime, MaxLingerTime) / 2);
+    co_await sendLateReport(soak, earlier);
+    co_await sleepFor(randomDuration(soak, MinLingerTime, MaxLingerTime) / 2);
+    if (endpoint.incarnation != incarnation || !isRunning(endpoint))
+        co_return;
+    crashEndpoint(soak, endpoint);
+    restartEndpoint(soak, endpoint);
+}
+
+// Lets endpoints leave one after another, some of them at the same time.
+asio::awaitable<void> runDepartures(SoakState &soak, ActiveFaults &active, TimePoint until)
+{
+    while (RuntimeClock::now() < until) {
+        co_await sleepFor(randomDuration(soak, MinDepartureInterval, MaxDepartureInterval));
+        SoakEndpoint &endpoint = *soak.endpoints[randomBelow(soak, soak.endpoints.size())];
+        if (!isRunning(endpoint) || endpoint.departedAt)
+            continue;
+        ++active.count;
+        asio::co_spawn(soak.context, departEndpoint(soak, active, endpoint),
+                       [&active](const std::exception_ptr &failure) {
+                           --active.count;
+                           if (failure)
+                               std::rethrow_exception(failure);
+                       });
+    }
+    --active.count;
+}
+
 // Lets requests with one prompt part end engines for a part of the test.
 asio::awaitable<void> runEndingPart(SoakState &soak)
 {
@@ -254,6 +325,8 @@
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     ActiveFaults active;
+    ++active.count;
+    asio::co_spawn(soak.context, runDepartures(soak, active, until), asio::detached);
     while (RuntimeClock::now() < until) {
         ++soak.counts.faults;
         ++active.count;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -72,7 +72,8 @@
               << " failed; " << counts.faults << " faults, " << counts.publishedConfigurations
               << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
               << soak.lateEndingRequests << " late ones, " << repeats << " repeats, "
-              << limitedArrivals << " requests at limited endpoints" << std::endl;
+              << limitedArrivals << " requests at limited endpoints, " << counts.departures
+              << " departures" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -93,6 +94,9 @@
     std::string reportAddress;
 
     double lostResponseRatio = DefaultLostResponseRatio;
+
+    // Time at which a control VM acknowledged that this incarnation leaves.
+    std::optional<TimePoint> departedAt;
 };
 
 // A booking must run at most once. A lookup can be repeated.
@@ -135,6 +139,7 @@
 
     std::uint64_t publishedConfigurations = 0;
     std::uint64_t faults = 0;
+    std::uint64_t departures = 0;
 };
 
 // The running soak test.
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -39,12 +39,6 @@
     return value ? *value : std::string();
 }
 
-// Returns the report that the endpoint sends.
-EndpointReport &findReport(SoakState &soak, SoakEndpoint &endpoint)
-{
-    return endpoint.isEngine ? soak.fleet.engines.at(endpoint.id).report : endpoint.report;
-}
-
 std::string makeResponseText(std::uint32_t status, const HttpHead &request, const std::string &body,
                              const std::vector<HttpField> &fields)
 {
@@ -305,6 +299,24 @@
     recordLimitedArrival(soak, endpoint.id, request.entry);
 }
 
+// Reports a violation when a request reaches the endpoint long after it was acknowledged that it
+// leaves. An entry that was disturbed may not know it yet, but control must.
+void checkDepartedArrival(SoakState &soak, const SoakEndpoint &endpoint, const HttpHead &head)
+{
+    constexpr auto drainTimeout = std::chrono::seconds(2);
+    constexpr auto connectivityWindow = std::chrono::seconds(3);
+    const auto found = soak.sent.find(headerValue(head, "X-Trefoilrun-Attempt-Id"));
+    const bool isLate = endpoint.departedAt
+                        && RuntimeClock::now() - *endpoint.departedAt > drainTimeout
+                        && found != soak.sent.end();
+    if (!isLate)
+        return;
+    const SoakNode *entry = findEntry(soak, found->second.entry);
+    if (entry && isUndisturbed(*entry, connectivityWindow))
+        reportViolation(soak, "request " + found->first + " reached " + endpoint.id + " from "
+                                      + entry->name + " after its departure had been acknowledged");
+}
+
 // Handles one request. Returns whether the connection stays open.
 asio::awaitable<bool> handleRequest(Session &session, const HttpHead &head, const std::string &body)
 {
@@ -313,6 +325,7 @@
     const std::string expected = headerValue(head, "X-Trefoilrun-Expect-Instance");
     if (!expected.empty() && expected != endpoint.id)
         co_return co_await session.write(makeNotExecutedResponse(421, head));
+    checkDepartedArrival(session.soak, endpoint, head);
     if (head.target == "/trefoilrun/order")
         co_return co_await session.write(handleOrder(session.soak, endpoint, head, body));
     SentRequest *request = checkRequest(session.soak, head, body);
@@ -528,8 +541,49 @@
     return endpoint.listener != nullptr;
 }
 
+EndpointReport &findReport(SoakState &soak, SoakEndpoint &endpoint)
+{
+    return endpoint.isEngine ? soak.fleet.engines.at(endpoint.id).report : endpoint.report;
+}
+
+asio::awaitable<SoakNode *> announceDeparture(SoakState &soak, SoakEndpoint &endpoint,
+                                              bool isDraining)
+{
+    constexpr int attempts = 4;
+    EndpointReport &report = findReport(soak, endpoint);
+    report.isDraining = isDraining;
+    ++report.sequence;
+    const EndpointReport announced = report;
+    std::string address = endpoint.reportAddress;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        if (address.empty())
+            address = addressOf(randomNode(soak, "control"), ControlPort);
+        HttpCall call;
+        call.address = address;
+        call.target = "/trefoilrun/instances/" + announced.id
+                      + (isDraining ? "/heartbeat" : "/deregister");
+        call.body = isDraining ? encodeReport(announced)
+                               : json::serialize(json::object{{"born", announced.startedAtMs}});
+        const HttpCallResult answer = co_await callHttp(std::move(call));
+        if (answer.status == 200) {
+            for (SoakNode &node : soak.nodes) {
+                if (addressOf(node, ControlPort) == address)
+                    co_return &node;
+            }
+        }
+        address.clear();
+    }
+    co_return nullptr;
+}
+
+asio::awaitable<void> sendLateReport(SoakState &soak, EndpointReport report)
+{
+    co_await postReport(soak, {}, report.id, encodeReport(report));
+}
+
 void crashEndpoint(SoakState &soak, SoakEndpoint &endpoint)
 {
+    endpoint.departedAt.reset();
     if (endpoint.isEngine)
         crashEngine(soak.fleet, endpoint.id);
     endpoint.listener.reset();
--- a/tests/soak/standinservers.h
+++ b/tests/soak/standinservers.h
@@ -29,6 +29,17 @@
 
 bool isRunning(const SoakEndpoint &endpoint);
 
+// Announces that the endpoint leaves, by a report that it drains or by a departure. Returns the
+// control VM that acknowledged it, or null.
+boost::asio::awaitable<SoakNode *> announceDeparture(SoakState &soak, SoakEndpoint &endpoint,
+                                                     bool isDraining);
+
+// Delivers a report that an endpoint made earlier to a random control VM.
+boost::asio::awaitable<void> sendLateReport(SoakState &soak, EndpointReport report);
+
+// Returns the report that the endpoint sends.
+EndpointReport &findReport(SoakState &soak, SoakEndpoint &endpoint);
+
 // Sends a false report that gives the endpoint's address, with an unknown service and a later start
 // time. Some of these reports are truncated.
 boost::asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint);
--- a/tests/support/controlcluster.cpp
+++ b/tests/support/controlcluster.cpp
@@ -157,7 +157,9 @@
                              });
         if (submitted == submittedProposals_.end())
             continue;
-        if (result.isApplied)
+        if (result.isApplied && !submitted->departed.empty())
+            acknowledgedDepartures_.insert(submitted->departed);
+        else if (result.isApplied)
             checkReply(*submitted, result.reply);
         submittedProposals_.erase(submitted);
     }
@@ -212,13 +214,30 @@
         ControlSeatOutput out;
         const auto proposalId = proposeCommand(seat.state, proposal, localTimeOf(seat), out);
         if (proposalId)
-            submittedProposals_.push_back({proposal.identity, index, *proposalId});
+            submittedProposals_.push_back({proposal.identity, index, *proposalId, {}});
         processOutput(index, out);
     }
 }
 
 // Checks that all replies to the same command are equal, and that a command number that is reused
 // for another text is refused.
+void ControlCluster::proposeDeparture(std::uint64_t number)
+{
+    const std::string endpoint = "e" + std::to_string(number);
+    for (std::size_t index = 0; index < seats_.size(); ++index) {
+        SimulatedSeat &seat = seats_[index];
+        if (!seat.isUp || now_ < seat.pausedUntil)
+            continue;
+        Proposal proposal;
+        proposal.command = RecordDepartures{{{endpoint, number, 0}}};
+        ControlSeatOutput out;
+        const auto proposalId = proposeCommand(seat.state, proposal, localTimeOf(seat), out);
+        if (proposalId)
+            submittedProposals_.push_back({proposal.identity, index, *proposalId, endpoint});
+        processOutput(index, out);
+    }
+}
+
 void ControlCluster::checkReply(const SubmittedProposal &submitted, const CommandReply &reply)
 {
     const CommandIdentity &identity = submitted.identity;
@@ -463,6 +482,10 @@
         if (!(seat.state.control.config == reference.state.control.config)
             || !(seat.state.control.replies == reference.state.control.replies))
             throw ControlViolation("the control states of two seats differ");
+        for (const std::string &endpoint : acknowledgedDepartures_) {
+            if (!seat.state.control.departures.contains(endpoint))
+                throw ControlViolation("a seat has forgotten that " + endpoint + " left");
+        }
     }
 }
 
--- a/tests/support/controlcluster.h
+++ b/tests/support/controlcluster.h
@@ -37,6 +37,9 @@
     void advance(Duration span);
     void propose(const std::string &operatorName, std::uint64_t number, std::uint32_t variant);
 
+    // Proposes that an endpoint has left. Once this is reported as applied, no seat may forget it.
+    void proposeDeparture(std::uint64_t number);
+
     // Checks that a read on a seat with the leader lease returns every version reported to a
     // client.
     void checkLeaseRead(std::size_t seat);
@@ -103,6 +106,7 @@
         CommandIdentity identity;
         std::size_t seat;
         std::uint64_t proposalId;
+        std::string departed; // endpoint of a departure, otherwise empty
     };
 
     TimePoint localTimeOf(const SimulatedSeat &seat) const;
@@ -129,6 +133,7 @@
     double messageLossRate_ = 0;
     SeatId nextSeatId_ = 100;
     std::vector<SubmittedProposal> submittedProposals_;
+    std::set<std::string> acknowledgedDepartures_;
     LogIndex highestReportedVersion_ = 0;                             // to a client
     std::map<LogIndex, std::pair<Term, std::string>> appliedEntries_; // by index, as first applied
     std::map<Term, SeatId> leaderByTerm_;
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -244,8 +244,10 @@
 {
     EndpointTable table;
     applyReport(table, makeReport("e1", "10.0.0.1:80", 5, 3), {}, Start);
-    BOOST_CHECK(!applyDeparture(table, "e1", 4, Start));
-    BOOST_CHECK(applyDeparture(table, "e1", 5, Start));
+    applyDeparture(table, {"e1", 4}, Start);
+    BOOST_CHECK(isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
+    BOOST_CHECK(applyDeparture(table, {"e1", 5}, Start) == DepartureOutcome::Learned);
+    BOOST_CHECK(!isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
     applyReport(table, makeReport("e1", "10.0.0.1:80", 5, 4), {}, Start);
     BOOST_CHECK(!isUsable(*findEndpoint(table, "e1"), seconds(3), Start));
     applyReport(table, makeReport("e1", "10.0.0.1:80", 7, 1), {}, Start);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -290,11 +290,13 @@
     news.changed.push_back(
             {std::get<EndpointReport>(dialect().decodeHeartbeat("i-1", HeartbeatText)), 250, true});
     news.heard.push_back({"i-2", 5, 100});
+    news.departures = {{"i-3", 6, 700, true}};
     const LinkMessage message = decodeLinkMessage(encodeLinkMessage(news));
     const auto &decoded = std::get<EndpointUpdate>(message);
     BOOST_CHECK(decoded.changed[0].report == news.changed[0].report);
     BOOST_CHECK(decoded.changed[0].hasLeft);
     BOOST_CHECK_EQUAL(decoded.heard[0].ageMs, 100);
+    BOOST_CHECK(decoded.departures == news.departures);
     BOOST_CHECK_THROW(decodeLinkMessage("garbage"), std::exception);
 }
 
@@ -324,10 +326,11 @@
     EndpointUpdate update;
     update.heard = {{"e1", 5, 6}};
     std::string bytes = encodeLinkMessage(update);
-    bytes.resize(bytes.size() - 3 * sizeof(std::uint64_t));
+    bytes.resize(bytes.size() - 4 * sizeof(std::uint64_t));
     const auto decoded = std::get<EndpointUpdate>(decodeLinkMessage(bytes));
     BOOST_CHECK_EQUAL(decoded.heard.size(), 1);
     BOOST_CHECK(decoded.partEvidence.isEmpty());
+    BOOST_CHECK(decoded.departures.empty());
     bytes.resize(bytes.size() - 1);
     bytes.resize(bytes.size() / 2);
     BOOST_CHECK_THROW(decodeLinkMessage(bytes), std::exception);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -742,7 +742,7 @@
         return hasEnded;
     };
     BOOST_CHECK(ask());
-    applyDeparture(fixture.state.placement.table, fixture.first.id, 0, RuntimeClock::now());
+    applyDeparture(fixture.state.placement.table, {fixture.first.id}, RuntimeClock::now());
     BOOST_CHECK(!ask());
 }
 
