libfleet, libgateway: reports of services that are not configured yet are kept

What callers saw: a version of the configuration adds a service; its endpoint reports while the entries still apply the version before.

Cause: a node dropped reports of services that its own configuration did not name, and nothing asked for them again. Later reports of the endpoint carry no change, so they travel as signs of life, which say nothing to a node that does not know the endpoint. The same drop hit entries that were frozen or cut off while a service came (the full update of a new link precedes the configuration), control VMs that were behind the leader, and endpoints that started while their service was removed for a while. Before its first configuration a node accepted all reports, and one of an unrelated program under the id of an endpoint overwrote that endpoint until its report changed again.

Change: libfleet keeps such reports apart, by id and service, at most 10,000, with their signs of life; they never replace or change an endpoint of a configured service, and come into use with the version that names their service (setServices, for each version). Known endpoints of a removed service go on. Control VMs pass reports on whether their service is configured or not. Entries remember silent endpoints a minute longer than control VMs, which do not repeat what they still know.

The fixture of test_relay applies the services of its configuration, as an entry does.

--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -51,11 +51,80 @@
         endpoint.loadedModel = modelOfGroup(*membership);
 }
 
+// Returns true when the reports differ in more than their sequence number.
+bool differs(EndpointReport a, const EndpointReport &b)
+{
+    a.sequence = b.sequence;
+    return a != b;
+}
+
+// A service that is removed may return, so its known endpoints stay in use by the routes that name
+// it, if any do.
+bool isConfigured(const EndpointTable &table, const EndpointReport &report)
+{
+    if (!table.services || table.services->contains(report.service))
+        return true;
+    const auto found = table.endpoints.find(report.id);
+    return found != table.endpoints.end() && found->second.report.service == report.service;
+}
+
+ReportOutcome applyUnconfigured(EndpointTable &table, const EndpointReport &report, Duration age,
+                                TimePoint now)
+{
+    const auto key = std::make_pair(report.id, report.service);
+    const auto found = table.unconfigured.find(key);
+    if (found == table.unconfigured.end()) {
+        if (table.unconfigured.size() >= MaxUnconfiguredEndpoints)
+            return ReportOutcome::Stale;
+        Endpoint endpoint;
+        endpoint.report = report;
+        endpoint.lastHeard = now - age;
+        endpoint.lastReportAt = now - age;
+        table.unconfigured.emplace(key, std::move(endpoint));
+        return ReportOutcome::Changed;
+    }
+    Endpoint &known = found->second;
+    if (isOlder(report, known.report))
+        return ReportOutcome::Stale;
+    known.lastHeard = std::max(known.lastHeard, now - age);
+    known.lastReportAt = std::max(known.lastReportAt, now - age);
+    const bool hasChanged = differs(report, known.report);
+    known.report = report;
+    return hasChanged ? ReportOutcome::Changed : ReportOutcome::Refreshed;
+}
+
+// Calls the function with each endpoint under this id and incarnation.
+template <class Function>
+void forIncarnation(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
+                    Function function)
+{
+    const auto found = table.endpoints.find(id);
+    if (found != table.endpoints.end() && found->second.report.startedAtMs == startedAtMs)
+        function(found->second);
+    for (auto it = table.unconfigured.lower_bound({id, {}});
+         it != table.unconfigured.end() && it->first.first == id; ++it) {
+        if (it->second.report.startedAtMs == startedAtMs)
+            function(it->second);
+    }
+}
+
+// Calls the function with each endpoint.
+template <class Function>
+void forAll(EndpointTable &table, Function function)
+{
+    for (auto &[id, endpoint] : table.endpoints)
+        function(endpoint);
+    for (auto &[key, endpoint] : table.unconfigured)
+        function(endpoint);
+}
+
 } // namespace
 
 ReportOutcome applyReport(EndpointTable &table, const EndpointReport &report, Duration age,
                           TimePoint now)
 {
+    if (!isConfigured(table, report))
+        return applyUnconfigured(table, report, age, now);
     if (report.isDraining)
         recordDeparture(table.departures, {report.id, report.startedAtMs, toMilliseconds(age)},
                         now);
@@ -83,9 +152,7 @@
         known.isReplaced = hasSuccessor(table, report);
         known.loadedModel.clear();
     }
-    EndpointReport renumbered = report;
-    renumbered.sequence = known.report.sequence;
-    const bool hasChanged = renumbered != known.report;
+    const bool hasChanged = differs(report, known.report);
     const bool hasNewAddress = report.address != known.report.address || !isSameIncarnation;
     known.report = report;
     updateLoadedModel(known);
@@ -96,12 +163,13 @@
 
 DepartureOutcome applyDeparture(EndpointTable &table, DepartureNotice notice, TimePoint now)
 {
-    const auto found = table.endpoints.find(notice.endpoint);
-    const bool isKnown = found != table.endpoints.end();
-    if (notice.startedAtMs == 0 && isKnown)
-        notice.startedAtMs = found->second.report.startedAtMs;
+    if (notice.startedAtMs == 0) {
+        for (const Endpoint *known : findAllEndpoints(table, notice.endpoint))
+            notice.startedAtMs = std::max(notice.startedAtMs, known->report.startedAtMs);
+    }
     const DepartureOutcome outcome = recordDeparture(table.departures, notice, now);
-    if (!isKnown || found->second.isLeaving)
+    const auto found = table.endpoints.find(notice.endpoint);
+    if (found == table.endpoints.end() || found->second.isLeaving)
         return outcome;
     Endpoint &endpoint = found->second;
     endpoint.isLeaving =
@@ -115,51 +183,66 @@
 void recordSignOfLife(EndpointTable &table, const EndpointId &id, std::uint64_t startedAtMs,
                       Duration age, TimePoint now)
 {
-    const auto found = table.endpoints.find(id);
-    if (found == table.endpoints.end() || found->second.report.startedAtMs != startedAtMs)
-        return;
-    found->second.lastHeard = std::max(found->second.lastHeard, now - age);
-    found->second.lastReportAt = std::max(found->second.lastReportAt, now - age);
+    forIncarnation(table, id, startedAtMs, [&](Endpoint &endpoint) {
+        endpoint.lastHeard = std::max(endpoint.lastHeard, now - age);
+        endpoint.lastReportAt = std::max(endpoint.lastReportAt, now - age);
+    });
 }
 
 void recordGroupProgress(EndpointTable &table, const EndpointId &head, std::uint64_t startedAtMs,
                          Duration age, TimePoint now)
 {
-    const auto found = table.endpoints.find(head);
-    if (found == table.endpoints.end() || found->second.report.startedAtMs != startedAtMs)
-        return;
-    found->second.lastHeard = std::max(found->second.lastHeard, now - age);
-    const auto membership = found->second.report.membership;
-    if (!membership || membership->rank != 0)
+    std::optional<GroupMembership> membership;
+    forIncarnation(table, head, startedAtMs, [&](Endpoint &endpoint) {
+        endpoint.lastHeard = std::max(endpoint.lastHeard, now - age);
+        if (endpoint.report.membership && endpoint.report.membership->rank == 0)
+            membership = endpoint.report.membership;
+    });
+    if (!membership)
         return;
-    for (auto &[id, endpoint] : table.endpoints) {
+    forAll(table, [&](Endpoint &endpoint) {
         const auto &other = endpoint.report.membership;
         if (other && other->group == membership->group && other->epoch == membership->epoch)
             endpoint.lastHeard = std::max(endpoint.lastHeard, now - age);
-    }
+    });
 }
 
 void compensatePause(EndpointTable &table, Duration pause, TimePoint now)
 {
-    for (auto &[id, endpoint] : table.endpoints) {
+    forAll(table, [&](Endpoint &endpoint) {
         endpoint.lastHeard = std::min(now, endpoint.lastHeard + pause);
         endpoint.lastReportAt = std::min(now, endpoint.lastReportAt + pause);
-    }
+    });
 }
 
-void removeUnknownServices(EndpointTable &table, const ServiceConfiguration &config)
+void setServices(EndpointTable &table, const ServiceConfiguration &config, TimePoint now)
 {
-    std::erase_if(table.endpoints, [&config](const auto &item) {
-        return !findService(config, item.second.report.service);
+    table.services.emplace();
+    for (const Service &service : config.services)
+        table.services->insert(service.name);
+    std::vector<Endpoint> named;
+    std::erase_if(table.unconfigured, [&](const auto &item) {
+        const bool isNamed = table.services->contains(item.first.second);
+        if (isNamed)
+            named.push_back(item.second);
+        return isNamed;
     });
-    for (auto &[id, endpoint] : table.endpoints)
-        endpoint.isReplaced = hasSuccessor(table, endpoint.report);
+    for (const Endpoint &endpoint : named) {
+        const EndpointReport &report = endpoint.report;
+        applyReport(table, report, now - endpoint.lastReportAt, now);
+        forIncarnation(table, report.id, report.startedAtMs, [&](Endpoint &known) {
+            known.lastHeard = std::max(known.lastHeard, endpoint.lastHeard);
+        });
+    }
 }
 
 void removeExpiredEndpoints(EndpointTable &table, Duration retention, TimePoint now)
 {
-    std::erase_if(table.endpoints,
-                  [&](const auto &item) { return now - item.second.lastHeard > retention; });
+    const auto isExpired = [&](const auto &item) {
+        return now - item.second.lastHeard > retention;
+    };
+    std::erase_if(table.endpoints, isExpired);
+    std::erase_if(table.unconfigured, isExpired);
 }
 
 bool isUsable(const Endpoint &endpoint, Duration heartbeatTimeout, TimePoint now)
@@ -168,10 +251,26 @@
            && now - endpoint.lastHeard <= heartbeatTimeout;
 }
 
+std::size_t endpointCount(const EndpointTable &table)
+{
+    return table.endpoints.size() + table.unconfigured.size();
+}
+
 const Endpoint *findEndpoint(const EndpointTable &table, const EndpointId &id)
 {
     const auto found = table.endpoints.find(id);
     return found == table.endpoints.end() ? nullptr : &found->second;
 }
 
+std::vector<const Endpoint *> findAllEndpoints(const EndpointTable &table, const EndpointId &id)
+{
+    std::vector<const Endpoint *> endpoints;
+    if (const Endpoint *endpoint = findEndpoint(table, id))
+        endpoints.push_back(endpoint);
+    for (auto it = table.unconfigured.lower_bound({id, {}});
+         it != table.unconfigured.end() && it->first.first == id; ++it)
+        endpoints.push_back(&it->second);
+    return endpoints;
+}
+
 } // namespace Trefoil
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -8,9 +8,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <span>
+#include <set>
 #include <string>
-#include <string_view>
+#include <utility>
 #include <vector>
 
 // Tracks the endpoints of all services. Endpoints announce themselves by heartbeats, which may
@@ -49,10 +49,23 @@
 
 struct EndpointTable
 {
+    // Endpoints of configured services.
     std::map<EndpointId, Endpoint> endpoints;
+
+    // Other endpoints, by id and service. A later version of the configuration may name their
+    // service; until then they are not used. A report under the id of a configured endpoint with
+    // another service comes from an unrelated program and must not change that endpoint.
+    std::map<std::pair<EndpointId, std::string>, Endpoint> unconfigured;
+
+    // Names of the configured services. Without a value, all services count as configured.
+    std::optional<std::set<std::string>> services;
+
     DepartureTable departures;
 };
 
+// Limits what unrelated programs can add to a table.
+constexpr std::size_t MaxUnconfiguredEndpoints = 10'000;
+
 enum class ReportOutcome : std::uint8_t {
     Stale,     // older than the known report
     Refreshed, // only the sequence number changed
@@ -81,10 +94,10 @@
 // reports that arrived in the meantime may still be unread.
 void compensatePause(EndpointTable &table, Duration pause, TimePoint now);
 
-// Removes endpoints of services that the configuration does not name, and undoes the replacements
-// that they caused at their addresses. Reports from any sender are accepted until the first
-// configuration arrives, so this runs when it does.
-void removeUnknownServices(EndpointTable &table, const ServiceConfiguration &config);
+// Applies the services of a new configuration. Endpoints that reported before their service was
+// named come into use. Those of a service that is no longer named stay in the table, since it may
+// be named again.
+void setServices(EndpointTable &table, const ServiceConfiguration &config, TimePoint now);
 
 // Removes endpoints that were last heard longer than `retention` ago.
 void removeExpiredEndpoints(EndpointTable &table, Duration retention, TimePoint now);
@@ -93,7 +106,13 @@
 // or leaving, and was not replaced.
 bool isUsable(const Endpoint &endpoint, Duration heartbeatTimeout, TimePoint now);
 
-// Returns the endpoint, or null when it is not known.
+// Returns the number of endpoints, configured or not.
+std::size_t endpointCount(const EndpointTable &table);
+
+// Returns the endpoint, or null when no configured service has it.
 const Endpoint *findEndpoint(const EndpointTable &table, const EndpointId &id);
 
+// Returns the endpoint and those under its id that are not configured.
+std::vector<const Endpoint *> findAllEndpoints(const EndpointTable &table, const EndpointId &id);
+
 } // namespace Trefoil
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -104,7 +104,7 @@
 EndpointReports::Handlers ControlProcess::makeReportHandlers()
 {
     EndpointReports::Handlers handlers;
-    handlers.configuration = [this] { return currentConfiguration(); };
+    handlers.refreshConfiguration = [this] { currentConfiguration(); };
     handlers.reportAddress = [this] { return reportAddress(); };
     handlers.propose = [this](RecordDepartures command, auto onDone) {
         return seat_->isActingLeader() && seat_->propose(std::move(command), std::move(onDone));
@@ -259,8 +259,7 @@
 
 std::string ControlProcess::reportAddress() const
 {
-    if (seat_->isActingLeader()
-        || reports_.table().endpoints.size() > MaxEndpointsReportingToLeader)
+    if (seat_->isActingLeader() || endpointCount(reports_.table()) > MaxEndpointsReportingToLeader)
         return {};
     if (reportedLeaderTerm_ >= seat_->term()
         && reportedLeaderAddress_ != settings_.controlListenAddress)
@@ -553,6 +552,7 @@
     gauge("seats", static_cast<double>(seat_->seats().size()));
     gauge("links_accepted", static_cast<double>(acceptedLinks_.size()));
     gauge("endpoints_known", static_cast<double>(reports_.table().endpoints.size()));
+    gauge("endpoints_unconfigured", static_cast<double>(reports_.table().unconfigured.size()));
     gauge("endpoints_usable", static_cast<double>(usableEndpoints));
     gauge("departures_known", static_cast<double>(departures.byEndpoint.size()));
     gauge("departures_not_committed", static_cast<double>(departures.notDurable.size()));
@@ -581,7 +581,6 @@
     const PublishedServices &services = seat_->services();
     if (services.version != decodedVersion_) {
         decodedVersion_ = services.version;
-        const bool isFirst = !decodedConfiguration_;
         const auto document = decompressDocument(services.document);
         decodedConfiguration_.reset();
         if (document)
@@ -589,8 +588,8 @@
         else
             logEvent(Event::ConfigurationRefused, {{"version", std::to_string(services.version)},
                                                    {"findings", InvalidDocumentFinding}});
-        if (isFirst && decodedConfiguration_)
-            removeUnknownServices(reports_.table(), *decodedConfiguration_);
+        if (decodedConfiguration_)
+            setServices(reports_.table(), *decodedConfiguration_, RuntimeClock::now());
     }
     return decodedConfiguration_ ? &*decodedConfiguration_ : nullptr;
 }
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -37,6 +37,11 @@
             std::max<std::int64_t>(duration / std::chrono::milliseconds(1), 0));
 }
 
+EndpointUpdate::ChangedEndpoint makeChangedEndpoint(const Endpoint &endpoint, TimePoint now)
+{
+    return {endpoint.report, toMilliseconds(now - endpoint.lastHeard), endpoint.isLeaving};
+}
+
 std::string joinTexts(std::span<const std::string> texts)
 {
     std::string joined;
@@ -60,7 +65,9 @@
     , dialect_(dialect)
     , handlers_(std::move(handlers))
     , updateTimer_(context)
-{}
+{
+    table_.services.emplace();
+}
 
 asio::awaitable<ServerResponse> EndpointReports::handleHeartbeat(EndpointId endpoint,
                                                                  std::string body)
@@ -82,27 +89,23 @@
     co_return response;
 }
 
-// A report of a service that is not configured is acknowledged but ignored: it may come from an
-// unrelated program and must not replace the endpoint at its address. A control VM that has just
-// started has no configuration yet and applies all reports, because without endpoints its entries
-// could not serve any request.
+// A report of a service that is not configured is kept and passed on as well, because this control
+// VM or an entry may learn later that the service was added.
 bool EndpointReports::applyHeartbeat(const EndpointReport &report)
 {
-    const ServiceConfiguration *config = handlers_.configuration();
-    if (config && !findService(*config, report.service)) {
-        logEvent(Event::EndpointReportInvalid,
-                 {{"endpoint", report.id}, {"error", "unknown service " + report.service}});
-        return false;
-    }
-    if (report.isDraining)
+    handlers_.refreshConfiguration();
+    const Endpoint *configured = findEndpoint(table_, report.id);
+    const bool isForeign = configured && configured->report.service != report.service
+                           && !table_.services->contains(report.service);
+    if (report.isDraining && !isForeign)
         recordNotice({report.id, report.startedAtMs}, "report");
     const ReportOutcome outcome =
             applyReport(table_, report, Duration::zero(), RuntimeClock::now());
     if (outcome == ReportOutcome::Changed)
-        announceChange(report.id);
+        announceChange(report);
     else if (outcome == ReportOutcome::Refreshed)
         heardEndpoints_.insert(report.id);
-    return true;
+    return !isForeign;
 }
 
 asio::awaitable<ServerResponse> EndpointReports::handleDeparture(EndpointId endpoint,
@@ -111,9 +114,10 @@
     if (endpoint.empty() || endpoint.size() > MaxEndpointIdBytes)
         co_return makeErrorResponse(400, "the endpoint's id is empty or too long");
     std::uint64_t startedAtMs = dialect_.decodeDeparture(body);
-    const Endpoint *known = findEndpoint(table_, endpoint);
-    if (startedAtMs == 0 && known)
-        startedAtMs = known->report.startedAtMs;
+    if (startedAtMs == 0) {
+        for (const Endpoint *known : findAllEndpoints(table_, endpoint))
+            startedAtMs = std::max(startedAtMs, known->report.startedAtMs);
+    }
     recordNotice({endpoint, startedAtMs}, "departure");
     const bool isConfirmed = co_await confirmDeparture(endpoint, startedAtMs);
     if (!isConfirmed)
@@ -199,7 +203,8 @@
         recordNotice(notice, "link");
     if (update.changed.empty() && update.heard.empty())
         return;
-    applyEndpointUpdate(table_, update, handlers_.configuration(), now);
+    handlers_.refreshConfiguration();
+    applyEndpointUpdate(table_, update, now);
     handlers_.onChanged();
 }
 
@@ -228,21 +233,24 @@
     }
 }
 
-void EndpointReports::announceChange(const EndpointId &endpoint)
+void EndpointReports::announceChange(const EndpointReport &report)
 {
-    const Endpoint *known = findEndpoint(table_, endpoint);
-    const auto &membership = known->report.membership;
+    const auto &membership = report.membership;
+    const Endpoint *configured = findEndpoint(table_, report.id);
+    const bool isConfigured = configured && configured->report.service == report.service;
+    const bool isLeaving = hasDeparted(table_.departures, report.id, report.startedAtMs);
     logEvent(Event::EndpointChanged,
-             {{"endpoint", endpoint},
-              {"service", known->report.service},
-              {"address", known->report.address},
-              {"draining", known->report.isDraining ? "yes" : "no"},
-              {"left", known->isLeaving ? "yes" : "no"},
-              {"fabric", known->report.fabric},
-              {"staged", joinTexts(known->report.stagedModels)},
+             {{"endpoint", report.id},
+              {"service", report.service},
+              {"configured", isConfigured ? "yes" : "no"},
+              {"address", report.address},
+              {"draining", report.isDraining ? "yes" : "no"},
+              {"left", isLeaving ? "yes" : "no"},
+              {"fabric", report.fabric},
+              {"staged", joinTexts(report.stagedModels)},
               {"group", membership ? membership->group : ""},
               {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
-    changedEndpoints_.insert(endpoint);
+    changedEndpoints_.insert(report.id);
     scheduleUpdate();
 }
 
@@ -271,13 +279,13 @@
     const TimePoint now = RuntimeClock::now();
     EndpointUpdate update;
     for (const EndpointId &id : changedEndpoints_) {
-        if (const Endpoint *known = findEndpoint(table_, id))
-            update.changed.push_back(
-                    {known->report, toMilliseconds(now - known->lastHeard), known->isLeaving});
+        for (const Endpoint *known : findAllEndpoints(table_, id))
+            update.changed.push_back(makeChangedEndpoint(*known, now));
     }
     for (const EndpointId &id : heardEndpoints_) {
-        const Endpoint *known = findEndpoint(table_, id);
-        if (known && !changedEndpoints_.contains(id))
+        if (changedEndpoints_.contains(id))
+            continue;
+        for (const Endpoint *known : findAllEndpoints(table_, id))
             update.heard.push_back(
                     {id, known->report.startedAtMs, toMilliseconds(now - known->lastHeard)});
     }
@@ -297,8 +305,9 @@
     EndpointUpdate update;
     const TimePoint now = RuntimeClock::now();
     for (const auto &[id, known] : table_.endpoints)
-        update.changed.push_back(
-                {known.report, toMilliseconds(now - known.lastHeard), known.isLeaving});
+        update.changed.push_back(makeChangedEndpoint(known, now));
+    for (const auto &[key, known] : table_.unconfigured)
+        update.changed.push_back(makeChangedEndpoint(known, now));
     update.partEvidence = allEvidence(quarantine_, now);
     update.departures = makeDepartureNotices(table_.departures, now);
     return update;
--- a/src/libgateway/endpointreports.h
+++ b/src/libgateway/endpointreports.h
@@ -25,8 +25,8 @@
 public:
     struct Handlers
     {
-        // Returns the configuration in force, or null.
-        std::function<const ServiceConfiguration *()> configuration;
+        // Applies the services of the configuration to the table if it has changed.
+        std::function<void()> refreshConfiguration;
 
         // Returns where endpoints send their next reports, empty for this control VM.
         std::function<std::string()> reportAddress;
@@ -66,7 +66,8 @@
     EndpointUpdate makeFullUpdate() const;
 
 private:
-    // Applies a report that an endpoint sent here. Returns false when it is ignored.
+    // Applies a report that an endpoint sent here. Returns false when it comes from an unrelated
+    // program that uses the id of an endpoint.
     bool applyHeartbeat(const EndpointReport &report);
 
     // Waits until a recorded departure is committed. Returns false after a time within which the
@@ -78,7 +79,7 @@
     void notifyWaiters();
 
     // Logs the change and schedules an update to all links.
-    void announceChange(const EndpointId &endpoint);
+    void announceChange(const EndpointReport &report);
 
     // Sends an update after a short delay, so that it contains further changes.
     void scheduleUpdate();
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -28,7 +28,9 @@
 constexpr auto MaxUnloggedTickDelay = 9 * TickInterval;
 
 constexpr auto HelloInterval = std::chrono::milliseconds(500);
-constexpr auto EndpointRetention = std::chrono::minutes(5);
+
+// Longer than that of the control VMs, since they do not repeat a report that they still know.
+constexpr auto EndpointRetention = std::chrono::minutes(6);
 
 // Pause after each applied configuration, per byte of its text, so that decoding a series of
 // configurations leaves time for requests.
@@ -70,6 +72,7 @@
 {
     PlacementState placement;
     placement.domain = settings.domain;
+    placement.table.services.emplace();
     placement.options.heartbeatTimeout = settings.heartbeatInterval * 5 / 2;
     placement.rng.seed(std::random_device{}());
     placement.limits.entryName = settings.name;
@@ -233,8 +236,7 @@
         return;
     if (auto *update = std::get_if<EndpointUpdate>(&message)) {
         applyDepartures(state_, update->departures);
-        applyEndpointUpdate(state_.placement.table, *update, state_.config.get(),
-                            RuntimeClock::now());
+        applyEndpointUpdate(state_.placement.table, *update, RuntimeClock::now());
         applyEvidence(state_, update->partEvidence);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
         recordEntries(state_.roster, *topology, RuntimeClock::now());
@@ -295,8 +297,7 @@
                                                {"findings", toText(decoded.findings)}});
         return;
     }
-    if (!state_.config)
-        removeUnknownServices(state_.placement.table, *decoded.config);
+    setServices(state_.placement.table, *decoded.config, RuntimeClock::now());
     state_.config = std::make_shared<const ServiceConfiguration>(std::move(*decoded.config));
     std::erase_if(state_.retryBudgets, [this](const auto &item) {
         return findService(*state_.config, item.first) == nullptr;
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -175,13 +175,9 @@
             d.grants);
 }
 
-void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
-                         const ServiceConfiguration *config, TimePoint now)
+void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update, TimePoint now)
 {
     for (const EndpointUpdate::ChangedEndpoint &changed : update.changed) {
-        // A control VM that has no configuration yet also sends endpoints of unknown services.
-        if (config && !findService(*config, changed.report.service))
-            continue;
         const Duration age = std::chrono::milliseconds(changed.ageMs);
         applyReport(table, changed.report, age, now);
         if (changed.hasLeft)
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -154,10 +154,8 @@
     std::string document;
 };
 
-// Merges the reports and signs of life of an update into `table`. Endpoints of services that are
-// not configured are skipped; without a configuration all are accepted.
-void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
-                         const ServiceConfiguration *config, TimePoint now);
+// Merges the reports and signs of life of an update into `table`.
+void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update, TimePoint now);
 
 // Records the entries that a control VM is connected to or remembers.
 void recordEntries(EntryRoster &roster, const Topology &topology, TimePoint now);
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -91,6 +91,24 @@
     return engine;
 }
 
+// Two of three versions have a further service, and the routes that some versions added lead to it.
+// The next version moves them back and removes the service.
+bool hasExtraService(std::uint64_t version)
+{
+    return version % 3 != 0;
+}
+
+bool leadsToExtraService(std::uint64_t version, std::uint64_t addedVersion)
+{
+    return hasExtraService(version) && addedVersion % 3 == 1;
+}
+
+// Returns the latest version whose added route leads to the further service.
+std::uint64_t lastExtraRoute(std::uint64_t version)
+{
+    return version - (version + 2) % 3;
+}
+
 // Returns the path prefix of the route that a version adds.
 std::string addedRoutePrefix(std::uint64_t version)
 {
@@ -108,12 +126,17 @@
                        makeRoute("look", "/look/", "ledger", "idempotent")};
     for (std::uint64_t added = 1; added <= version; ++added)
         routes.push_back(makeRoute("added-" + std::to_string(added), addedRoutePrefix(added),
-                                   "ledger", "idempotent"));
+                                   leadsToExtraService(version, added) ? ExtraService : "ledger",
+                                   "idempotent"));
     root["routes"] = std::move(routes);
     json::object engines{{"name", "drafts"}, {"health-path", "/health"}, {"max-connections", 400}};
     engines["engine"] = makeEngine(soak);
     json::object ledger{{"name", "ledger"}, {"health-path", "/health"}, {"max-connections", 100}};
-    root["services"] = {std::move(engines), std::move(ledger)};
+    json::array services{std::move(engines), std::move(ledger)};
+    if (hasExtraService(version))
+        services.push_back(json::object{
+                {"name", ExtraService}, {"health-path", "/health"}, {"max-connections", 100}});
+    root["services"] = std::move(services);
     root["limits"] = {{"max-header-bytes", 16'384},
                       {"max-body-bytes", 4'194'304},
                       {"header-timeout-ms", 3000},
@@ -486,6 +509,9 @@
         }
         if (isAcknowledged)
             ++soak.counts.publishedConfigurations;
+        // The service was just added, and its endpoint starts.
+        if (isAcknowledged && lastExtraRoute(version) == version)
+            restartExtraEndpoint(soak);
         const std::uint64_t acknowledgedVersion = soak.acknowledgedVersion;
         const std::uint64_t readBack = co_await readVersion(soak);
         if (readBack != 0 && readBack < acknowledgedVersion)
@@ -526,9 +552,13 @@
     for (const SoakNode &node : soak.nodes) {
         if (node.role != "entry")
             continue;
-        const std::uint32_t status =
-                co_await requestAddedRoute(soak, node, soak.acknowledgedVersion);
-        if (status != 200)
+        const std::uint64_t version = soak.acknowledgedVersion;
+        const std::uint32_t status = co_await requestAddedRoute(soak, node, version);
+        if (status != 200 || !hasExtraService(version))
+            co_return false;
+        const std::uint32_t extraStatus =
+                co_await requestAddedRoute(soak, node, lastExtraRoute(version));
+        if (extraStatus != 200)
             co_return false;
     }
     co_return true;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -21,7 +21,8 @@
 // response. Reports a configuration whose content differs from what was published.
 boost::asio::awaitable<std::uint64_t> readVersion(SoakState &soak);
 
-// Returns whether every entry serves the route of the newest acknowledged configuration.
+// Returns whether every entry serves the route of the newest acknowledged configuration, and the
+// service that some versions add.
 boost::asio::awaitable<bool> areAllEntriesServing(SoakState &soak);
 
 } // namespace Trefoil
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::size_t EngineCount = 8;
-constexpr std::size_t PlainEndpointCount = 2;
+constexpr std::size_t PlainEndpointCount = 3;
 constexpr std::size_t BufferBytes = 256 * 1024;
 constexpr std::size_t MaxDeadlineMs = 10'000;
 constexpr auto StepInterval = std::chrono::milliseconds(10);
@@ -477,7 +477,7 @@
         engine->second.nextReport = soak.fleet.now;
     } else {
         report.id = endpoint->id = "p-" + std::to_string(index) + "-1";
-        report.service = "ledger";
+        report.service = index + 1 == EngineCount + PlainEndpointCount ? ExtraService : "ledger";
         report.address = endpoint->proxyAddress;
         report.slots = 20;
         report.startedAtMs = 1000;
@@ -609,6 +609,15 @@
     endpoint.proxy->startListening();
 }
 
+void restartExtraEndpoint(SoakState &soak)
+{
+    SoakEndpoint &endpoint = *soak.endpoints.back();
+    if (!isRunning(endpoint) || endpoint.departedAt)
+        return;
+    crashEndpoint(soak, endpoint);
+    restartEndpoint(soak, endpoint);
+}
+
 asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint)
 {
     EndpointReport report;
--- a/tests/soak/standinservers.h
+++ b/tests/soak/standinservers.h
@@ -9,6 +9,9 @@
 
 constexpr std::size_t StreamEvents = 25;
 
+// Service of the last endpoint, which versions of the configuration add and remove.
+constexpr const char *ExtraService = "extra";
+
 // Returns an event of a stream. Ids begin at 1.
 std::string makeEventText(std::uint64_t id);
 
@@ -27,6 +30,9 @@
 // Starts the endpoint again as a new incarnation with a new id.
 void restartEndpoint(SoakState &soak, SoakEndpoint &endpoint);
 
+// Starts the endpoint of the further service again unless it is down or leaves.
+void restartExtraEndpoint(SoakState &soak);
+
 bool isRunning(const SoakEndpoint &endpoint);
 
 // Announces that the endpoint leaves, by a report that it drains or by a departure. Returns the
--- a/tests/test_departures.cpp
+++ b/tests/test_departures.cpp
@@ -37,6 +37,13 @@
     return endpoint && isUsable(*endpoint, seconds(3), now);
 }
 
+ServiceConfiguration makeConfiguration()
+{
+    ServiceConfiguration config;
+    config.services = {{"bookings", "/health", 100, std::nullopt}};
+    return config;
+}
+
 const std::string ReadyReport =
         R"({"service":"bookings","address":"10.0.0.1:80","slots":6,"state":"ready",)"
         R"("sequence":7,"born":5})";
@@ -50,6 +57,7 @@
 {
     asio::io_context context;
     bool isLeader = true;
+    ServiceConfiguration config = makeConfiguration();
     std::vector<RecordDepartures> proposals;
     std::vector<std::function<void(bool)>> proposalEnds;
     std::vector<EndpointUpdate> updates;
@@ -58,7 +66,7 @@
     EndpointReports::Handlers makeHandlers()
     {
         EndpointReports::Handlers handlers;
-        handlers.configuration = [] { return nullptr; };
+        handlers.refreshConfiguration = [this] { setServices(reports.table(), config, Start); };
         handlers.reportAddress = [] { return std::string(); };
         handlers.propose = [this](RecordDepartures command, auto onDone) {
             if (!isLeader)
@@ -230,6 +238,7 @@
     BOOST_CHECK(!isInUse(restarted.reports.table(), RuntimeClock::now()));
     // A new link gets the departure with all reports, whatever it has heard before.
     EndpointTable entry;
+    setServices(entry, restarted.config, Start);
     applyReport(entry, makeReport(5, 7), {}, Start);
     for (const DepartureNotice &notice : restarted.reports.makeFullUpdate().departures)
         applyDeparture(entry, notice, Start);
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -415,20 +415,25 @@
 BOOST_AUTO_TEST_CASE(endpoints_of_unknown_services_replace_no_others)
 {
     const ServiceConfiguration config = makeConfiguration();
-    PlacementState state = makeTwoEndpointState();
+    EndpointTable table;
+    table.services.emplace();
+    applyReport(table, makeReport("e1", "10.0.0.1:80", 1, 1), {}, Start);
+    applyReport(table, makeReport("e2", "10.0.0.2:80", 1, 1), {}, Start);
     EndpointReport foreign = makeReport("e1", "10.0.0.1:80", 1'000'000, 1'000'000);
     foreign.service = "unheard-of";
-    applyReport(state.table, foreign, {}, Start);
+    applyReport(table, foreign, {}, Start);
     foreign.id = "foreign";
     foreign.address = "10.0.0.2:80";
-    applyReport(state.table, foreign, {}, Start);
-    BOOST_REQUIRE(findEndpoint(state.table, "e2")->isReplaced);
-    removeUnknownServices(state.table, config);
-    BOOST_CHECK(!findEndpoint(state.table, "foreign"));
-    BOOST_CHECK(isUsable(*findEndpoint(state.table, "e2"), seconds(1), Start));
-    // The next report of the endpoint itself is accepted again.
-    applyReport(state.table, makeReport("e1", "10.0.0.1:80", 1, 2), {}, Start);
-    BOOST_CHECK(isUsable(*findEndpoint(state.table, "e1"), seconds(1), Start));
+    applyReport(table, foreign, {}, Start);
+    setServices(table, config, Start);
+    BOOST_CHECK(!findEndpoint(table, "foreign"));
+    // The endpoints are usable without another report, which other nodes might not pass on.
+    for (const EndpointId id : {"e1", "e2"}) {
+        BOOST_REQUIRE(findEndpoint(table, id));
+        BOOST_CHECK(isUsable(*findEndpoint(table, id), seconds(1), Start));
+    }
+    applyReport(table, makeReport("e1", "10.0.0.1:80", 1, 2), {}, Start);
+    BOOST_CHECK(isUsable(*findEndpoint(table, "e1"), seconds(1), Start));
 }
 
 // The load pattern is that half of the requests of a model are refused. Without them the leader
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -400,13 +400,18 @@
     news.changed = {{known, 0, false}, {fabricated, 0, false}};
     const TimePoint now(std::chrono::hours(1));
     EndpointTable table;
-    applyEndpointUpdate(table, news, &config, now);
+    setServices(table, config, now);
+    applyEndpointUpdate(table, news, now);
     BOOST_REQUIRE(findEndpoint(table, "e1"));
     BOOST_CHECK_EQUAL(findEndpoint(table, "e1")->report.service, "desk");
-    // Without a configuration, all reports are accepted.
+    // Without a configuration, all reports are kept, and none is lost to another.
     EndpointTable unconfiguredTable;
-    applyEndpointUpdate(unconfiguredTable, news, nullptr, now);
-    BOOST_CHECK_EQUAL(findEndpoint(unconfiguredTable, "e1")->report.service, "unheard-of");
+    unconfiguredTable.services.emplace();
+    applyEndpointUpdate(unconfiguredTable, news, now);
+    BOOST_CHECK_EQUAL(findAllEndpoints(unconfiguredTable, "e1").size(), 2);
+    setServices(unconfiguredTable, config, now);
+    BOOST_REQUIRE(findEndpoint(unconfiguredTable, "e1"));
+    BOOST_CHECK_EQUAL(findEndpoint(unconfiguredTable, "e1")->report.service, "desk");
 }
 
 BOOST_AUTO_TEST_CASE(settings_error_lacks_its_line_or_its_suggestion)
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -172,6 +172,7 @@
         route.maxAttempts = 2;
         config.routes = {route};
         indexConfiguration(config);
+        setServices(state.placement.table, config, RuntimeClock::now());
         state.config = std::make_shared<const ServiceConfiguration>(config);
         addEndpointReport(first);
         if (endpoints > 1)
