libfleet, libgateway, platform: endpoints that leave or hold callers off in their answers

Callers saw requests sent to endpoints that had said in an answer that they leave, and to endpoints that had refused with 503 and a Retry-After: nothing read either header.

A departure in an answer (Server-Leaving: 1) is a departure like any other, recorded by the entry that reads it, before and without control, for the incarnation: no report, sign of life or update ends it. The entry tells the control VMs, which pass it on and commit it; control VMs read it in the answers to orders. Heads of streams, failures and refusals count; an answer 421, an interim one, one to another request, or another value do not. What runs is finished, idle connections are closed, and so is the connection of that answer after its request.

A 503 with Retry-After, with or without a proof that nothing ran, keeps this entry's requests from that incarnation for that time and up to a tenth more (at most 1 s), drawn by each entry, so that requests do not return all at once. When no other endpoint is left the caller is refused at once and told when the first one returns, within a third of its time. An endpoint is checked again after a connection to it was opened. Other entries and the leader are not told of hold-offs.

connectEndpoint() moves out of relayattempt.cpp, and the reading of answers' heads out of responserelay.cpp.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -32,6 +32,8 @@
     std::string priority;    // 0 is the most urgent
     std::string lastEventId;
     std::string requestLimit; // in answers of endpoints, decoded by Dialect::decodeRequestLimit
+    std::string leaving;      // in answers of endpoints, decoded by Dialect::decodeLeaving
+    std::string holdOff;      // in answers 503 of endpoints, decoded by Dialect::decodeHoldOff
 };
 
 enum class CallKind : std::uint8_t {
@@ -85,6 +87,13 @@
     // the reason why the figure cannot be used.
     std::variant<double, std::string> (*decodeRequestLimit)(std::string_view text) = nullptr;
 
+    // Returns whether the endpoint that answers says that it leaves.
+    bool (*decodeLeaving)(std::string_view text) = nullptr;
+
+    // Returns the time for which an endpoint wants no request of the entry that it answers, or the
+    // reason why the text cannot be used.
+    std::variant<Duration, std::string> (*decodeHoldOff)(std::string_view text) = nullptr;
+
     std::string (*encodeOrder)(const GroupOrder &order) = nullptr;
     std::string (*encodeEntryList)(std::span<const std::string> addresses,
                                    Duration lifetime) = nullptr;
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -250,6 +250,9 @@
     // until it may.
     std::vector<EndpointId> limited;
     Duration limitWait = Duration::max();
+
+    // The shortest time until an endpoint that wants no request now takes one.
+    Duration holdOffWait = Duration::max();
 };
 
 UntriedEndpoints findUntriedEndpoints(const PlacementState &state, const PlacementRequest &request,
@@ -262,6 +265,11 @@
         const bool isEjected = health && health->ejectedUntil > now;
         if (isEjected || request.triedEndpoints.contains(endpoint->report.id))
             continue;
+        const Duration holdOffWait = timeUntilReturn(state.holdOffs, *endpoint, now);
+        if (holdOffWait > Duration::zero()) {
+            untried.holdOffWait = std::min(untried.holdOffWait, holdOffWait);
+            continue;
+        }
         if (const EndpointLimit *limit = findLimit(state.limits, *endpoint)) {
             const Duration wait = timeUntilToken(state.limits, *limit, now);
             if (wait > Duration::zero()) {
@@ -304,11 +312,14 @@
     placement.retryAfter = std::min(Duration(std::chrono::milliseconds(500)), request.timeLeft / 3);
     const UntriedEndpoints untried = findUntriedEndpoints(state, request, endpoints, now);
     const std::vector<PlacementCandidate> &candidates = untried.candidates;
-    const Duration limitWait = boundRetryAfter(request, untried.limitWait);
-    if (candidates.empty() && !untried.limited.empty()) {
+    const Duration returnWait =
+            boundRetryAfter(request, std::min(untried.limitWait, untried.holdOffWait));
+    const bool isHeldOff = untried.holdOffWait != Duration::max();
+    if (candidates.empty() && (isHeldOff || !untried.limited.empty())) {
         recordNeeds(state.limits, untried.limited, now);
-        placement.verdict = PlacementVerdict::Limited;
-        placement.retryAfter = limitWait;
+        placement.verdict =
+                untried.limited.empty() ? PlacementVerdict::HeldOff : PlacementVerdict::Limited;
+        placement.retryAfter = returnWait;
     }
     if (candidates.empty())
         return placement;
@@ -332,7 +343,7 @@
     const Duration expected = expectedFirstEvent(state, request, placement.estimate);
     if (isTooLate(state, request, expected)) {
         placement.verdict = PlacementVerdict::Overloaded;
-        placement.retryAfter = std::min(computeRetryAfter(request, expected), limitWait);
+        placement.retryAfter = std::min(computeRetryAfter(request, expected), returnWait);
         recordNeeds(state.limits, untried.limited, now);
     }
     return placement;
@@ -387,6 +398,14 @@
     return !findUntriedEndpoints(state, request, endpoints, now).candidates.empty();
 }
 
+bool isStillUsable(const PlacementState &state, const Placement &placement, TimePoint now)
+{
+    const Endpoint *endpoint = findEndpoint(state.table, placement.endpoint);
+    return endpoint && endpoint->report.startedAtMs == placement.startedAtMs
+           && isUsable(*endpoint, state.options.heartbeatTimeout, now)
+           && timeUntilReturn(state.holdOffs, *endpoint, now) == Duration::zero();
+}
+
 double estimateModelDemand(const PlacementState &state, const std::string &model, double inProgress,
                            TimePoint now)
 {
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -3,6 +3,7 @@
 #include "libfleet/endpointlimits.h"
 #include "libfleet/endpoints.h"
 #include "libfleet/enginemodel.h"
+#include "libfleet/holdoffs.h"
 #include "libfleet/serviceconfiguration.h"
 
 #include <cstdint>
@@ -87,6 +88,7 @@
     std::map<std::string, RequestRate> arrivalRates;     // of requests at this entry, by model
     std::map<std::string, RequestRate> refusalRates;     // of refused requests, by model
     EndpointLimits limits;
+    HoldOffs holdOffs;
     std::size_t entryCount = 1; // entries that share the endpoints
     Duration peerLoadAge{};     // age of the loads that other entries reported
     std::string domain;         // failure domain of this entry
@@ -111,6 +113,7 @@
     NoEndpoint, // no endpoint is known, or all were tried or ejected
     Overloaded, // the answer would be too late
     Limited,    // the limits that endpoints name are used up
+    HeldOff,    // the endpoints want no request for some time
 };
 
 struct Placement
@@ -131,6 +134,9 @@
 bool hasUntriedEndpoint(const PlacementState &state, const PlacementRequest &request,
                         TimePoint now);
 
+// Returns whether an endpoint that was chosen some time ago may still get the request.
+bool isStillUsable(const PlacementState &state, const Placement &placement, TimePoint now);
+
 // Estimates how many requests of a model this entry would have in progress if it refused none, from
 // the requests in progress and the rates of requests and refusals.
 double estimateModelDemand(const PlacementState &state, const std::string &model, double inProgress,
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -680,6 +680,8 @@
     call.body = dialect_.encodeOrder(order);
     call.fields.push_back({dialect_.headers.expectEndpoint, order.endpoint});
     call.timeout = OrderTimeout;
+    const Endpoint *endpoint = findEndpoint(reports_.table(), order.endpoint);
+    const std::uint64_t startedAtMs = endpoint ? endpoint->report.startedAtMs : 0;
     const HttpCallResult result = co_await callHttp(std::move(call));
     const OrderOutcome outcome = toOrderOutcome(result);
     ordersUnanswered_ += outcome == OrderOutcome::Unanswered ? 1 : 0;
@@ -688,6 +690,8 @@
                                     {"group", order.group},
                                     {"status", std::to_string(result.status)},
                                     {"error", result.error}});
+    if (startedAtMs != 0)
+        reports_.recordAnswer(order.endpoint, startedAtMs, result.head);
     if (!planner_ || planner_->term != order.term)
         co_return;
     recordOrderOutcome(*planner_, order.endpoint, order.number, outcome);
--- a/src/libgateway/endpointpool.cpp
+++ b/src/libgateway/endpointpool.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr std::size_t MaxIdlePerEndpoint = 64;
 
+// A connection with this many refusals is closed.
+constexpr std::size_t MaxRefusedIds = 64;
+
 std::string makeRequestText(const HttpCall &call)
 {
     HttpHead head;
@@ -99,24 +102,31 @@
 
 std::optional<EndpointConnection> EndpointConnectionPool::takeIdle(const std::string &endpoint,
                                                                    std::uint64_t startedAtMs,
+                                                                   const std::string &request,
                                                                    TimePoint now)
 {
     const auto found = idleConnections_.find(endpoint);
     if (found == idleConnections_.end())
         return std::nullopt;
     auto &connections = found->second;
-    while (!connections.empty()) {
-        EndpointConnection connection = std::move(connections.back());
-        connections.pop_back();
-        const bool isUsable = connection.startedAtMs == startedAtMs && now < connection.idleDeadline
-                              && !connection.channel->isEnded()
-                              && connection.channel->input().empty();
-        if (isUsable)
-            return connection;
-        connection.channel->close();
-    }
-    idleConnections_.erase(found);
-    return std::nullopt;
+    std::erase_if(connections, [startedAtMs, now](const EndpointConnection &connection) {
+        const bool isOpen = connection.startedAtMs == startedAtMs && now < connection.idleDeadline
+                            && !connection.channel->isEnded()
+                            && connection.channel->input().empty();
+        if (!isOpen)
+            connection.channel->close();
+        return !isOpen;
+    });
+    const auto usable = std::find_if(
+            connections.rbegin(), connections.rend(), [&request](const EndpointConnection &item) {
+                return std::find(item.refusedIds.begin(), item.refusedIds.end(), request)
+                       == item.refusedIds.end();
+            });
+    if (usable == connections.rend())
+        return std::nullopt;
+    EndpointConnection connection = std::move(*usable);
+    connections.erase(std::next(usable).base());
+    return connection;
 }
 
 void EndpointConnectionPool::putIdle(EndpointConnection connection, TimePoint now)
@@ -124,7 +134,10 @@
     connection.channel->setChangeSignal(nullptr);
     connection.isReused = true;
     auto &connections = idleConnections_[connection.endpoint];
-    if (connection.idleDeadline <= now || connections.size() >= MaxIdlePerEndpoint) {
+    const bool isUnusable = connection.isLast || connection.idleDeadline <= now
+                            || connections.size() >= MaxIdlePerEndpoint
+                            || connection.refusedIds.size() >= MaxRefusedIds;
+    if (isUnusable) {
         connection.channel->close();
         return;
     }
@@ -144,6 +157,19 @@
     std::erase_if(idleConnections_, [](const auto &item) { return item.second.empty(); });
 }
 
+void EndpointConnectionPool::closeDeparted(const DepartureTable &departures)
+{
+    for (auto &[endpoint, connections] : idleConnections_) {
+        std::erase_if(connections, [&departures](EndpointConnection &connection) {
+            const bool isDeparted =
+                    hasDeparted(departures, connection.endpoint, connection.startedAtMs);
+            if (isDeparted)
+                connection.channel->close();
+            return isDeparted;
+        });
+    }
+}
+
 std::size_t EndpointConnectionPool::idleCount() const
 {
     std::size_t count = 0;
--- a/src/libgateway/endpointpool.h
+++ b/src/libgateway/endpointpool.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "libfleet/departures.h"
 #include "libgateway/channel.h"
 #include "libgateway/httpmessage.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,21 +27,33 @@
     TimePoint idleDeadline{};
 
     bool isReused = false;
+
+    // The endpoint leaves, so the connection is closed after its request.
+    bool isLast = false;
+
+    // Ids of the requests that the endpoint refused on this connection. A faulty endpoint may write
+    // such a refusal again, and only the id tells whose it is, so a request that is sent once more
+    // takes another connection.
+    std::vector<std::string> refusedIds;
 };
 
 // Holds idle connections by endpoint. The most recently used one is taken first.
 class EndpointConnectionPool
 {
 public:
-    // Returns an idle connection that is still open, or nothing.
+    // Returns an idle connection that is still open and may carry this request, or nothing.
     std::optional<EndpointConnection> takeIdle(const std::string &endpoint,
-                                               std::uint64_t startedAtMs, TimePoint now);
+                                               std::uint64_t startedAtMs,
+                                               const std::string &request, TimePoint now);
 
     void putIdle(EndpointConnection connection, TimePoint now);
 
     // Closes connections that are past their idle deadline or ended.
     void closeExpired(TimePoint now);
 
+    // Closes connections to endpoints that have announced that they leave.
+    void closeDeparted(const DepartureTable &departures);
+
     std::size_t idleCount() const;
 
 private:
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -26,6 +26,9 @@
 // Endpoints turn to another control VM when they have waited one second for an answer.
 constexpr auto ConfirmationTimeout = std::chrono::milliseconds(850);
 
+// A departure of an unknown endpoint within this time after another one repeats it.
+constexpr auto RepeatedDepartureTime = std::chrono::seconds(30);
+
 constexpr std::size_t MaxDeparturesPerProposal = 1000;
 constexpr std::size_t MaxEndpointIdBytes = 256;
 
@@ -114,10 +117,8 @@
     if (endpoint.empty() || endpoint.size() > MaxEndpointIdBytes)
         co_return makeErrorResponse(400, "the endpoint's id is empty or too long");
     std::uint64_t startedAtMs = dialect_.decodeDeparture(body);
-    if (startedAtMs == 0) {
-        for (const Endpoint *known : findAllEndpoints(table_, endpoint))
-            startedAtMs = std::max(startedAtMs, known->report.startedAtMs);
-    }
+    if (startedAtMs == 0)
+        startedAtMs = presentIncarnation(endpoint);
     recordNotice({endpoint, startedAtMs}, "departure");
     const bool isConfirmed = co_await confirmDeparture(endpoint, startedAtMs);
     if (!isConfirmed)
@@ -127,6 +128,22 @@
     co_return response;
 }
 
+// Returns the start of the known incarnation. One that is not known has started before now.
+std::uint64_t EndpointReports::presentIncarnation(const EndpointId &endpoint) const
+{
+    const auto known = findAllEndpoints(table_, endpoint);
+    const auto departed = table_.departures.byEndpoint.find(endpoint);
+    const bool isRepeated =
+            departed != table_.departures.byEndpoint.end()
+            && RuntimeClock::now() - departed->second.announcedAt < RepeatedDepartureTime;
+    if (known.empty())
+        return isRepeated ? departed->second.startedAtMs : wallTimeMs();
+    std::uint64_t startedAtMs = 0;
+    for (const Endpoint *incarnation : known)
+        startedAtMs = std::max(startedAtMs, incarnation->report.startedAtMs);
+    return startedAtMs;
+}
+
 asio::awaitable<bool> EndpointReports::confirmDeparture(EndpointId endpoint,
                                                         std::uint64_t startedAtMs)
 {
@@ -208,6 +225,15 @@
     handlers_.onChanged();
 }
 
+void EndpointReports::recordAnswer(const EndpointId &endpoint, std::uint64_t startedAtMs,
+                                   const HttpHead &answer)
+{
+    const std::string *leaving = findField(answer, dialect_.headers.leaving);
+    // An answer 421 comes from another endpoint at the address.
+    if (leaving && answer.status != 421 && dialect_.decodeLeaving(*leaving))
+        recordNotice({endpoint, startedAtMs}, "answer");
+}
+
 void EndpointReports::applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted)
 {
     const std::uint64_t nowMs = wallTimeMs();
--- a/src/libgateway/endpointreports.h
+++ b/src/libgateway/endpointreports.h
@@ -55,6 +55,10 @@
     // Applies the update of a control VM or an entry.
     void applyUpdate(const EndpointUpdate &update);
 
+    // Records what the answer of an incarnation to an order says about it.
+    void recordAnswer(const EndpointId &endpoint, std::uint64_t startedAtMs,
+                      const HttpHead &answer);
+
     // Applies departures that are in the log.
     void applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted);
 
@@ -74,6 +78,7 @@
     // endpoint expects the answer.
     boost::asio::awaitable<bool> confirmDeparture(EndpointId endpoint, std::uint64_t startedAtMs);
 
+    std::uint64_t presentIncarnation(const EndpointId &endpoint) const;
     void recordNotice(const DepartureNotice &notice, const char *source);
     void proposeDepartures();
     void notifyWaiters();
--- a/src/libgateway/entrydepartures.cpp
+++ b/src/libgateway/entrydepartures.cpp
@@ -11,6 +11,16 @@
 constexpr auto DepartureRetention = std::chrono::hours(1);
 constexpr std::size_t MaxDepartures = 10'000;
 
+// Logs what was learned. `request` is the id of the request whose answer said so, if one did.
+void logDeparture(const DepartureNotice &notice, const char *source, const std::string &request)
+{
+    logEvent(Event::EndpointDeparted, {{"endpoint", notice.endpoint},
+                                       {"started", std::to_string(notice.startedAtMs)},
+                                       {"committed", notice.isDurable ? "yes" : "no"},
+                                       {"source", source},
+                                       {"id", request}});
+}
+
 } // namespace
 
 void applyDepartures(EntryState &state, std::span<const DepartureNotice> notices)
@@ -19,17 +29,37 @@
     for (const DepartureNotice &notice : notices) {
         if (applyDeparture(state.placement.table, notice, now) != DepartureOutcome::Learned)
             continue;
-        logEvent(Event::EndpointDeparted, {{"endpoint", notice.endpoint},
-                                           {"started", std::to_string(notice.startedAtMs)},
-                                           {"committed", notice.isDurable ? "yes" : "no"},
-                                           {"source", "link"}});
+        logDeparture(notice, "link", {});
     }
 }
 
+void recordLeavingAnswer(EntryState &state, const Placement &placement, const std::string &request)
+{
+    const DepartureNotice notice{placement.endpoint, placement.startedAtMs};
+    const DepartureOutcome outcome =
+            applyDeparture(state.placement.table, notice, RuntimeClock::now());
+    if (outcome != DepartureOutcome::Learned)
+        return;
+    state.metrics.incrementCounter("trefoil_departures_in_answers_total", "");
+    logDeparture(notice, "answer", request);
+    state.connectionPool.closeDeparted(state.placement.table.departures);
+    state.sendDeparture(notice);
+}
+
+std::vector<DepartureNotice> departuresToReport(const EntryState &state)
+{
+    const DepartureTable &departures = state.placement.table.departures;
+    std::vector<DepartureNotice> notices;
+    for (const EndpointId &id : departures.notDurable)
+        notices.push_back(makeDepartureNotice(departures, id, RuntimeClock::now()));
+    return notices;
+}
+
 void removeExpiredDepartures(EntryState &state, TimePoint now)
 {
     removeExpiredDepartures(state.placement.table.departures, DepartureRetention, MaxDepartures,
                             now);
+    state.connectionPool.closeDeparted(state.placement.table.departures);
 }
 
 } // namespace Trefoil
--- a/src/libgateway/entrydepartures.h
+++ b/src/libgateway/entrydepartures.h
@@ -9,7 +9,14 @@
 // Applies departures that a control VM passed on.
 void applyDepartures(EntryState &state, std::span<const DepartureNotice> notices);
 
-// Removes departures that are too old to matter.
+// Records that an endpoint said in its answer to a request that it leaves.
+void recordLeavingAnswer(EntryState &state, const Placement &placement, const std::string &request);
+
+// Returns the departures that control VMs have not confirmed.
+std::vector<DepartureNotice> departuresToReport(const EntryState &state);
+
+// Removes departures that are too old to matter, and closes idle connections to endpoints that
+// leave.
 void removeExpiredDepartures(EntryState &state, TimePoint now);
 
 } // namespace Trefoil
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -149,10 +149,16 @@
         nextHelloAt_ = std::min(nextHelloAt_, RuntimeClock::now() + StallReportDelay);
     };
     state_.scheduleEvidence = [this] { scheduleEvidence(); };
+    state_.sendDeparture = [this](const DepartureNotice &notice) {
+        EndpointUpdate update;
+        update.departures.push_back(notice);
+        sendUpdate(update);
+    };
     controlLinks_.setConnectHandler([this](Link &link) {
         EndpointUpdate update;
         update.partEvidence = allEvidence(state_.quarantine, RuntimeClock::now());
-        if (!update.partEvidence.isEmpty())
+        update.departures = departuresToReport(state_);
+        if (!update.partEvidence.isEmpty() || !update.departures.empty())
             link.send(update);
     });
     tick();
@@ -210,9 +216,12 @@
         removeExpiredEndpoints(state_.placement.table, EndpointRetention, now);
         removeExpiredDepartures(state_, now);
         removeUnknownLimits(state_.placement.limits, state_.placement.table, now);
-        std::erase_if(state_.invalidLimits, [this](const auto &item) {
+        const auto isUnknown = [this](const auto &item) {
             return !findEndpoint(state_.placement.table, item.first);
-        });
+        };
+        std::erase_if(state_.invalidLimits, isUnknown);
+        std::erase_if(state_.invalidHoldOffs, isUnknown);
+        removeExpiredHoldOffs(state_.placement.holdOffs, now);
         state_.connectionPool.closeExpired(now);
         removeExpiredEvidence(state_.quarantine, now);
         updateRoster(now);
@@ -364,8 +373,12 @@
     evaluateEvidence(state_);
     EndpointUpdate update;
     update.partEvidence = std::exchange(state_.pendingEvidence, {});
-    if (update.partEvidence.isEmpty())
-        return;
+    if (!update.partEvidence.isEmpty())
+        sendUpdate(update);
+}
+
+void EntryProcess::sendUpdate(const EndpointUpdate &update)
+{
     const std::string frame = encodeLinkFrame(update);
     for (auto &[address, control] : controlLinks_.peers()) {
         if (control.link)
@@ -533,6 +546,9 @@
     }
     set("roster_entries", static_cast<double>(entryCount(state_.roster)));
     const auto &limits = state_.placement.limits.byEndpoint;
+    set("held_off_endpoints", static_cast<double>(state_.placement.holdOffs.byEndpoint.size()));
+    set("departures_known",
+        static_cast<double>(state_.placement.table.departures.byEndpoint.size()));
     set("limited_endpoints",
         static_cast<double>(std::count_if(limits.begin(), limits.end(), [](const auto &item) {
             return item.second.perSecond.has_value();
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -45,6 +45,9 @@
     // Start of the last incarnation of each endpoint whose invalid limit was reported.
     std::map<EndpointId, std::uint64_t> invalidLimits;
 
+    // The same for times for which endpoints wanted no request.
+    std::map<EndpointId, std::uint64_t> invalidHoldOffs;
+
     // Whether a control VM passes evidence on to the other entries.
     bool isLinkedToControl = false;
 
@@ -65,6 +68,9 @@
     // Reports `stalledAt` to the control VMs without waiting for the next hello.
     std::function<void()> sendStallReport;
 
+    // Tells the control VMs that an endpoint said in an answer that it leaves.
+    std::function<void(const DepartureNotice &)> sendDeparture;
+
     // Evaluates and sends new evidence after a short delay.
     std::function<void()> scheduleEvidence;
 
@@ -110,6 +116,9 @@
     void scheduleEvidence();
     void sendEvidence();
 
+    // Sends evidence or departures to all control VMs.
+    void sendUpdate(const EndpointUpdate &update);
+
     // Exchange of loads with the other entries.
     void receiveDigests();
     void applyDigest(const LoadDigest &digest);
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/relayattempt.h"
 
 #include "libgateway/engineends.h"
+#include "libgateway/entryconnections.h"
 #include "libgateway/entryquarantine.h"
 #include "libgateway/responserelay.h"
 #include "libruntime/clock.h"
@@ -14,7 +15,6 @@
 
 namespace {
 
-constexpr auto EndpointConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto RequestWriteTimeout = std::chrono::seconds(2);
 
 // Engines get priorities above this value as this value.
@@ -144,31 +144,6 @@
               {"parts", toText(request.sharedParts)}});
 }
 
-// Takes an idle connection or opens a new one. Returns nothing and sets `error` on failure.
-asio::awaitable<std::optional<EndpointConnection>> connectEndpoint(RelayContext &context,
-                                                                   const RelayRequest &request,
-                                                                   const Placement &placement,
-                                                                   std::string &error)
-{
-    const TimePoint now = RuntimeClock::now();
-    auto idle =
-            context.state.connectionPool.takeIdle(placement.endpoint, placement.startedAtMs, now);
-    if (idle)
-        co_return idle;
-    context.state.metrics.incrementCounter("trefoil_endpoint_connections_total", "");
-    const Duration timeout = std::min<Duration>(EndpointConnectTimeout, request.deadline - now);
-    ChannelPointer channel =
-            co_await connectChannel(placement.address, timeout, ResponseInputCapacity, error);
-    if (!channel)
-        co_return std::nullopt;
-    EndpointConnection connection;
-    connection.channel = std::move(channel);
-    connection.address = placement.address;
-    connection.endpoint = placement.endpoint;
-    connection.startedAtMs = placement.startedAtMs;
-    co_return connection;
-}
-
 // Returns the priority for the engine, which admits lower values first. The priority of the
 // workspace or route decides; among equals, requests that can still meet the target latency go
 // before late ones.
@@ -229,9 +204,7 @@
     std::string error;
     auto connection = co_await connectEndpoint(context, request, placement, error);
     if (!connection) {
-        progress.lastReason = "cannot connect: " + error;
-        recordAttempt(context.state.placement, placement.endpoint, EndpointResult::Failed, {},
-                      RuntimeClock::now());
+        progress.lastReason = error;
         co_return AttemptOutcome::NotExecuted;
     }
     if (context.channel->isEnded()) {
@@ -297,6 +270,11 @@
         context.state.metrics.incrementCounter("trefoil_limit_refusals_total", "");
         co_return false;
     }
+    if (placement.verdict == PlacementVerdict::HeldOff) {
+        progress.lastReason = "the endpoints take no requests for now";
+        context.state.metrics.incrementCounter("trefoil_hold_off_refusals_total", "");
+        co_return false;
+    }
     if (progress.sendCount > 0) {
         const bool mayRepeat =
                 progress.sendCount < request.route->maxAttempts
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -1,6 +1,6 @@
 #include "libgateway/responserelay.h"
 
-#include "libgateway/entrylimits.h"
+#include "libgateway/entryanswers.h"
 #include "libgateway/entryquarantine.h"
 #include "libruntime/clock.h"
 
@@ -241,7 +241,7 @@
     progress.eventFilter.incompleteEvent.clear();
     std::optional<TimePoint> overdueSince;
     std::uint32_t unrelatedResponses = 0;
-    bool isLimitRecorded = false;
+    bool isHeadRecorded = false;
     HttpParser parser = makeResponseParser(request);
     while (true) {
         const bool isParsed = parser.consume(endpoint.input());
@@ -261,10 +261,9 @@
         }
         const bool isOwnHead =
                 parser.isHeadDone() && !isUnrelatedResponse(context, request, parser.head());
-        // A response 421 comes from another endpoint at the address.
-        if (isOwnHead && !isLimitRecorded && parser.head().status != 421) {
-            isLimitRecorded = true;
-            recordLimit(context.state, placement, parser.head(), sentAt);
+        if (isOwnHead && !isHeadRecorded) {
+            isHeadRecorded = true;
+            recordAnswer(context.state, request, placement, connection, parser.head(), sentAt);
         }
         const bool isStream = isOwnHead && isEventStream(context, request, parser.head());
         if (isParsed && isStream) {
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -51,6 +51,8 @@
         {Event::RetryDenied, Info, "a request is not repeated, the retry budget is used up"},
         {Event::EndpointLimitChanged, Info, "the request limit of an endpoint changed"},
         {Event::EndpointLimitInvalid, Warning, "an endpoint named a limit that cannot be used"},
+        {Event::EndpointHeldOff, Info, "an endpoint wants no requests for a while"},
+        {Event::HoldOffInvalid, Warning, "an endpoint named a time that cannot be used"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -47,6 +47,8 @@
     RetryDenied = 510,
     EndpointLimitChanged = 511,
     EndpointLimitInvalid = 512,
+    EndpointHeldOff = 513,
+    HoldOffInvalid = 514,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -116,6 +116,28 @@
         BOOST_CHECK(std::holds_alternative<std::string>(dialect().decodeHeartbeat("i-1", invalid)));
 }
 
+// What an endpoint says of itself in the heads of its answers.
+BOOST_AUTO_TEST_CASE(times_and_departures_in_answers_are_misread)
+{
+    using std::chrono::milliseconds;
+    const auto holdOff = [](std::string_view text) {
+        return std::get<Duration>(dialect().decodeHoldOff(text));
+    };
+    BOOST_CHECK(holdOff("2") == milliseconds(2000));
+    BOOST_CHECK(holdOff("0.25") == milliseconds(250));
+    BOOST_CHECK(holdOff("0") == Duration::zero());
+    BOOST_CHECK(holdOff("86400") == std::chrono::hours(24));
+    BOOST_CHECK(holdOff("100000000000000000000") == std::chrono::seconds(10'000'000));
+    for (const std::string &invalid :
+         {std::string(""), std::string("-1"), std::string("soon"), std::string("nan"),
+          std::string("inf"), std::string("1 "), std::string("1e3"),
+          std::string("Wed, 21 Oct 2026 07:28:00 GMT")})
+        BOOST_CHECK(std::holds_alternative<std::string>(dialect().decodeHoldOff(invalid)));
+    BOOST_CHECK(dialect().decodeLeaving("1"));
+    for (const std::string_view other : {"", "0", "11", "true"})
+        BOOST_CHECK(!dialect().decodeLeaving(other));
+}
+
 BOOST_AUTO_TEST_CASE(call_is_mistaken_for_another)
 {
     BOOST_CHECK(dialect().parseCall("GET", "/trefoilrun/readiness").kind == CallKind::Readiness);
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -2,6 +2,7 @@
 #include "libgateway/relaysession.h"
 
 #include "libgateway/engineends.h"
+#include "libgateway/entrydepartures.h"
 #include "libgateway/entryquarantine.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -114,6 +115,9 @@
     // Bytes that the caller received.
     std::string callerInput;
 
+    // Departures of which the entry told the control VMs.
+    std::vector<DepartureNotice> sentDepartures;
+
     RelayFixture()
     {
         first.id = "e1";
@@ -123,6 +127,9 @@
         listen(second);
         listen(third);
         state.sendStallReport = [] {};
+        state.sendDeparture = [this](const DepartureNotice &notice) {
+            sentDepartures.push_back(notice);
+        };
         state.scheduleEvidence = [this] { evaluateEvidence(state); };
         entryListener = std::make_unique<ChannelListener>(
                 context, loopbackWithFreePort(), InputCapacity, [this](ChannelPointer channel) {
@@ -226,6 +233,13 @@
         context.stop();
     }
 
+    // The same with nothing left of earlier responses.
+    void exchangeAgain(const std::string &request, const std::string &expectedText)
+    {
+        callerInput.clear();
+        exchange(request, expectedText);
+    }
+
     // Sends a request and runs until the response contains `expectedText` or the connection ends.
     void exchange(const std::string &request, const std::string &expectedText)
     {
@@ -259,6 +273,21 @@
     return response;
 }
 
+// Returns the response with a further header field.
+std::string withField(std::string response, const std::string &field)
+{
+    response.insert(response.find("\r\n") + 2, field + "\r\n");
+    return response;
+}
+
+std::string makeRefusal(const std::string &fields)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Trefoilrun-Attempt-Id: id1\r\n" + fields
+           + "Content-Length: 0\r\n\r\n";
+}
+
+const std::string NotExecutedField = "X-Trefoilrun-Not-Executed: 1\r\n";
+
 std::string makeStreamHead()
 {
     return "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
@@ -818,4 +847,124 @@
     BOOST_CHECK(lastEvent && *lastEvent == "1");
 }
 
+// Endpoints may leave without any word to the control VMs.
+BOOST_AUTO_TEST_CASE(endpoint_that_says_that_it_leaves_gets_another_request)
+{
+    const std::string answers[] = {withField(makeSuccess("a"), "Server-Leaving: 1"),
+                                   makeRefusal("Server-Leaving: 1\r\n" + NotExecutedField),
+                                   makeRefusal("Server-Leaving: 1\r\n")};
+    for (const std::string &answer : answers) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Idempotent, 2);
+        fixture.first.responses = {answer, makeSuccess("again")};
+        fixture.second.responses.assign(3, makeSuccess("b"));
+        fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+        // Neither a report nor a sign of life brings it back.
+        EndpointTable &table = fixture.state.placement.table;
+        EndpointReport report = findEndpoint(table, "e1")->report;
+        report.sequence = 9;
+        applyReport(table, report, {}, RuntimeClock::now());
+        recordSignOfLife(table, "e1", 1, {}, RuntimeClock::now());
+        fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\nb");
+        fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\nb");
+        BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+        BOOST_CHECK_GE(fixture.second.receivedHeads.size(), 2);
+        BOOST_REQUIRE_EQUAL(fixture.sentDepartures.size(), 1);
+        BOOST_CHECK_EQUAL(fixture.sentDepartures[0].endpoint, "e1");
+        BOOST_CHECK_EQUAL(departuresToReport(fixture.state).size(), 1);
+        BOOST_CHECK_EQUAL(fixture.state.connectionPool.idleCount(), 1);
+    }
+}
+
+// The head of a stream counts at once, while the stream goes on.
+BOOST_AUTO_TEST_CASE(engine_that_says_that_it_leaves_loses_its_running_stream)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.responses = {withField(makeStreamHead(), "Server-Leaving: 1")
+                               + toChunk(FirstEvent) + toChunk(SecondEvent) + "0\r\n\r\n"};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+    BOOST_CHECK_EQUAL(fixture.sentDepartures.size(), 1);
+    BOOST_CHECK(fixture.second.receivedHeads.empty());
+}
+
+// The header belongs to another request, to another endpoint at the address, or says no.
+BOOST_AUTO_TEST_CASE(sound_endpoint_counts_as_leaving)
+{
+    std::string late = withField(makeSuccess("late"), "Server-Leaving: 1");
+    late.replace(late.find("id1"), 3, "id0");
+    const std::string answers[] = {
+            late + makeSuccess("a"), withField(makeSuccess("a"), "Server-Leaving: 0"),
+            "HTTP/1.1 421 Misdirected\r\nX-Trefoilrun-Attempt-Id: id1\r\nServer-Leaving: 1\r\n"
+            "Retry-After: 9\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\nServer-Leaving: 1\r\n\r\n" + makeSuccess("a")};
+    for (const std::string &answer : answers) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Idempotent, 1);
+        fixture.first.responses = {answer, makeSuccess("again")};
+        fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+        fixture.exchangeAgain(makeRequest(KeyField, ""), "again");
+        BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 2);
+        BOOST_CHECK(fixture.sentDepartures.empty());
+    }
+}
+
+// A refusal with a time binds this entry, whether it proves that nothing ran or not.
+BOOST_AUTO_TEST_CASE(endpoint_that_wants_no_requests_gets_some)
+{
+    for (const std::string &proof : {NotExecutedField, std::string()}) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Idempotent, 2);
+        fixture.first.responses = {makeRefusal("Retry-After: 0.8\r\n" + proof), makeSuccess("a")};
+        fixture.second.responses.assign(20, makeSuccess("b"));
+        const TimePoint startedAt = RuntimeClock::now();
+        fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\nb");
+        // The other endpoint is so busy that it is used only without a choice.
+        addLoad(fixture.state.placement, "e2", {10'000, 0});
+        while (RuntimeClock::now() - startedAt < milliseconds(650))
+            fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\n");
+        BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+        while (RuntimeClock::now() - startedAt < milliseconds(900))
+            fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\n");
+        fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\na");
+        BOOST_CHECK_GT(fixture.first.receivedHeads.size(), 1);
+    }
+}
+
+// No endpoint is left. Waiting would not help, so the caller is told at once when to come back.
+BOOST_AUTO_TEST_CASE(request_waits_while_all_endpoints_want_none)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 1);
+    fixture.first.responses = {makeRefusal("Retry-After: 0.9\r\n" + NotExecutedField)};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    const TimePoint startedAt = RuntimeClock::now();
+    fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK_LT((RuntimeClock::now() - startedAt) / milliseconds(1), 500);
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 503"));
+    BOOST_CHECK(contains(fixture.callerInput, "Retry-After: 0."));
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+}
+
+// Only a refusal with 503 names such a time, and one that cannot be read binds nobody.
+BOOST_AUTO_TEST_CASE(unusable_times_hold_back_requests)
+{
+    std::string busy = makeRefusal("Retry-After: 9\r\n" + NotExecutedField);
+    busy.replace(busy.find("503"), 3, "429");
+    const std::string answers[] = {
+            busy, makeRefusal("Retry-After: 0\r\n" + NotExecutedField),
+            makeRefusal("Retry-After: -5\r\n" + NotExecutedField),
+            makeRefusal("Retry-After: soon\r\n" + NotExecutedField),
+            makeRefusal("Retry-After: Wed, 21 Oct 2026 07:28:00 GMT\r\n" + NotExecutedField)};
+    for (const std::string &answer : answers) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Idempotent, 1);
+        fixture.first.responses = {answer, makeSuccess("again")};
+        fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+        fixture.exchangeAgain(makeRequest(KeyField, ""), "again");
+        BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 2);
+    }
+}
+
 } // namespace Trefoil
