--- a/src/libgateway/entryanswers.cpp
+++ b/src/libgateway/entryanswers.cpp
@@ -50,6 +50,8 @@
                   EndpointConnection &connection, const HttpHead &answer, TimePoint sentAt)
 {
     const HeaderNames &headers = state.dialect.headers;
+    if (findField(answer, headers.notExecuted))
+        connection.refusedIds.push_back(request.id);
     // An answer 421 comes from another endpoint at the address.
     if (answer.status == 421)
         return;
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -967,4 +967,50 @@
     }
 }
 
+// The caller sends a refused request again under its id, and the endpoint repeats its refusal on
+// the kept connection while it runs the request.
+BOOST_AUTO_TEST_CASE(repeated_refusal_is_taken_for_the_answer_to_the_next_try)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::NonIdempotent, 1);
+    fixture.first.responses = {makeRefusal(NotExecutedField), makeSuccess("ran once")};
+    fixture.first.repeatedPiece = makeRefusal(NotExecutedField);
+    fixture.first.maxPieces = 1;
+    fixture.first.pieceDelay = milliseconds(300);
+    fixture.exchange(makeRequest(KeyField, "b"), "\r\n\r\n");
+    fixture.exchangeAgain(makeRequest(KeyField, "b"), "\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, "ran once"));
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 2);
+}
+
+// A stream breaks off, and the endpoint that should go on answers with an error.
+BOOST_AUTO_TEST_CASE(error_of_the_next_endpoint_ends_up_in_the_stream)
+{
+    const std::string errors[] = {
+            "HTTP/1.1 500 Internal Server Error\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+            "Content-Length: 8\r\n\r\nexploded",
+            "HTTP/1.1 500 Internal Server Error\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "14\r\nid: 2\ndata: exploded\n\r\n0\r\n\r\n",
+            makeRefusal(NotExecutedField) + "exploded",
+            makeRefusal(""),
+            makeSuccess("exploded"),
+            "exploded"};
+    for (const std::string &error : errors) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Stream, 2);
+        fixture.first.responses = {makeStreamHead() + toChunk(FirstEvent)};
+        fixture.first.closesAfterResponse = true;
+        fixture.second.responses = {error};
+        fixture.second.closesAfterResponse = true;
+        fixture.exchange(makeRequest(KeyField, ""), "");
+        const std::size_t firstHead = fixture.callerInput.find("HTTP/1.1");
+        BOOST_CHECK(contains(fixture.callerInput, FirstEvent));
+        BOOST_CHECK(!contains(fixture.callerInput, "exploded"));
+        BOOST_CHECK(!contains(fixture.callerInput.substr(firstHead + 1), "HTTP/1.1"));
+        BOOST_CHECK(!contains(fixture.callerInput, "\r\n0\r\n\r\n"));
+        BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+    }
+}
+
 } // namespace Trefoil
