platform: a report with an odd field is left out as a whole

Departures with an odd body ended the use of the endpoint they named.

Cause: fields of another type counted as missing, and a missing group as none; slots and ranks that are too large were cut to 32 bits; a port out of range was found only when a connection to it was tried. The rest of the report was applied.

Names are bounded, so that reports kept for later can not fill the memory. The body of a departure may be empty; another one must be an object whose `born` is a number.

--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -77,8 +77,9 @@
     std::variant<EndpointReport, std::string> (*decodeHeartbeat)(std::string_view id,
                                                                  std::string_view body) = nullptr;
 
-    // Returns the start of the incarnation that departs, 0 when the body does not name it.
-    std::uint64_t (*decodeDeparture)(std::string_view body) = nullptr;
+    // Returns the start of the incarnation that departs, 0 when the body does not name it, or the
+    // reason why the body is invalid.
+    std::variant<std::uint64_t, std::string> (*decodeDeparture)(std::string_view body) = nullptr;
 
     // Returns the parts of a prompt in order. Leaves out entries that cannot be read.
     std::vector<PromptPart> (*decodePromptParts)(std::string_view text) = nullptr;
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -116,7 +116,12 @@
 {
     if (endpoint.empty() || endpoint.size() > MaxEndpointIdBytes)
         co_return makeErrorResponse(400, "the endpoint's id is empty or too long");
-    std::uint64_t startedAtMs = dialect_.decodeDeparture(body);
+    const auto decoded = dialect_.decodeDeparture(body);
+    if (const auto *error = std::get_if<std::string>(&decoded)) {
+        logEvent(Event::EndpointReportInvalid, {{"endpoint", endpoint}, {"error", *error}});
+        co_return makeErrorResponse(400, *error);
+    }
+    std::uint64_t startedAtMs = std::get<std::uint64_t>(decoded);
     if (startedAtMs == 0)
         startedAtMs = presentIncarnation(endpoint);
     recordNotice({endpoint, startedAtMs}, "departure");
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -116,6 +116,60 @@
         BOOST_CHECK(std::holds_alternative<std::string>(dialect().decodeHeartbeat("i-1", invalid)));
 }
 
+// A report that is sound but for one field changed what was believed of the endpoint: a head whose
+// group is a text counted as being in no group, and its members joined another one.
+BOOST_AUTO_TEST_CASE(report_with_one_odd_field_is_applied_in_part)
+{
+    const std::string text = HeartbeatText;
+    const std::string group = R"("group":{"name":"m4.7","epoch":7,"rank":1,"state":"ready"})";
+    const std::string deep = std::string(5000, '[') + std::string(5000, ']');
+    const std::string tooLong(5000, 'x');
+    const std::pair<std::string, std::vector<std::string>> fields[] = {
+            {R"("service":"huvo11a")", {R"("service":17)", R"("service":")" + tooLong + "\""}},
+            {R"("address":"10.128.0.9:8080")",
+             {R"("address":"10.128.0.9:99999")", R"("address":"10.128.0.9:0")",
+              R"("address":"10.128.0.9")", R"("address":"host:80")", R"("address":"")"}},
+            {R"("zone":"bole")", {R"("zone":7)", R"("zone":)" + deep}},
+            {R"("slots":26)",
+             {R"("slots":"26")", R"("slots":-1)", R"("slots":2.5)", R"("slots":1e300)",
+              R"("slots":4294967296)", R"("slots":18446744073709551616)"}},
+            {R"("sequence":4)", {R"("sequence":18446744073709551616)", R"("sequence":4.5)"}},
+            {R"("born":1780000000000)", {R"("born":"x")", R"("born":1e30)", R"("born":null)"}},
+            {R"("domain":"f1")", {R"("domain":{})"}},
+            {R"("staged":["m4"])", {R"("staged":"m4")", R"("staged":[7])", R"("staged":)" + deep}},
+            {group,
+             {R"("group":"m4.7")", R"("group":[])", R"("group":{})",
+              R"("group":{"name":"m4.7","epoch":7,"rank":1})",
+              R"("group":{"name":"m4.7","epoch":"7","rank":1,"state":"ready"})",
+              R"("group":{"name":"m4.7","epoch":7,"rank":4294967297,"state":"ready"})",
+              R"("group":{"name":"m4.7","epoch":7,"rank":1,"state":"asleep"})"}},
+    };
+    for (const auto &[field, replacements] : fields) {
+        for (const std::string &replacement : replacements) {
+            const std::string odd = replaceFirst(text, field, replacement);
+            BOOST_CHECK_MESSAGE(
+                    std::holds_alternative<std::string>(dialect().decodeHeartbeat("i-1", odd)),
+                    replacement.substr(0, 60));
+        }
+    }
+    // Fields that a plain service does not send.
+    const auto plain = dialect().decodeHeartbeat(
+            "i-1", R"({"service":"s","address":"10.0.0.1:80","state":"ready","sequence":1})");
+    BOOST_CHECK(std::holds_alternative<EndpointReport>(plain));
+}
+
+// A call of another program ended the use of an endpoint that it named.
+BOOST_AUTO_TEST_CASE(odd_departure_is_taken_for_one_of_the_known_incarnation)
+{
+    BOOST_CHECK(std::get<std::uint64_t>(dialect().decodeDeparture(R"({"born":7})")) == 7);
+    BOOST_CHECK(std::get<std::uint64_t>(dialect().decodeDeparture("")) == 0);
+    BOOST_CHECK(std::get<std::uint64_t>(dialect().decodeDeparture("{}")) == 0);
+    for (const std::string &odd :
+         {std::string("x"), std::string("[1]"), std::string(R"({"born":"7"})"),
+          std::string(R"({"born":-7})"), std::string(5000, '[')})
+        BOOST_CHECK(std::holds_alternative<std::string>(dialect().decodeDeparture(odd)));
+}
+
 // What an endpoint says of itself in the heads of its answers.
 BOOST_AUTO_TEST_CASE(times_and_departures_in_answers_are_misread)
 {
