soak: endpoints leave by their answers and hold entries off

Stand-ins say in their answers that they leave, without a word to control, and refuse requests of some entries with a Retry-After of 0.02 to 20 s, with and without a proof that nothing ran. The soak checks from what endpoints see that no request which was sent 2 s after an entry was told reaches an endpoint that leaves, and no more than two while it wants none, unless the entry was stopped or paused since or the connections were disturbed.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -408,6 +408,7 @@
     request.path = paths[static_cast<std::size_t>(request.kind)];
     request.body = "body of " + id;
     request.entry = caller.entry;
+    request.sentAt = RuntimeClock::now();
     if (request.kind == RequestKind::Stream)
         choosePromptParts(soak, request);
     return request;
@@ -454,6 +455,7 @@
     request.path = addedRoutePrefix(version) + "x";
     request.body = id;
     request.entry = addressOf(entry, CallerPort);
+    request.sentAt = RuntimeClock::now();
     soak.sent[id] = request;
     soak.serviceLoads[serviceOf(request.kind)].requests.push_back(RuntimeClock::now());
     std::string error;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -43,6 +43,10 @@
 constexpr auto MinLingerTime = seconds(3);
 constexpr auto MaxLingerTime = seconds(8);
 
+// Times for which endpoints want no requests.
+constexpr auto MinHoldOff = milliseconds(200);
+constexpr auto MaxHoldOff = seconds(20);
+
 // Counts the active faults, so that no more control VMs fail at the same time than the settings
 // tolerate.
 struct ActiveFaults
@@ -156,13 +160,17 @@
         break;
     default:
         logFault(soak, "connections to " + endpoint.id + " are reset");
+        endpoint.lastConnectionFaultAt = RuntimeClock::now();
         endpoint.proxy->resetConnections();
         co_return;
     }
     logFault(soak, "connections to " + endpoint.id + " are delayed or blocked");
+    endpoint.hasConnectionFault = true;
     endpoint.proxy->setFault(fault);
     co_await sleepFor(duration);
     endpoint.proxy->setFault({});
+    endpoint.hasConnectionFault = false;
+    endpoint.lastConnectionFaultAt = RuntimeClock::now();
 }
 
 asio::awaitable<void> injectEndpointFault(SoakState &soak, Duration duration)
@@ -270,6 +278,45 @@
     --active.count;
 }
 
+// Lets the endpoint say in its answers that it leaves, serve on, and end. Control does not hear it.
+asio::awaitable<void> leaveByAnswers(SoakState &soak, SoakEndpoint &endpoint)
+{
+    const std::uint64_t incarnation = endpoint.incarnation;
+    logFault(soak, endpoint.id + " says in its answers that it leaves");
+    endpoint.saysThatItLeaves = true;
+    co_await sleepFor(randomDuration(soak, MinLingerTime, MaxLingerTime));
+    if (endpoint.incarnation != incarnation || !isRunning(endpoint))
+        co_return;
+    crashEndpoint(soak, endpoint);
+    restartEndpoint(soak, endpoint);
+}
+
+// Lets endpoints leave by their answers, or refuse requests of some entries with a time in which
+// they want none.
+asio::awaitable<void> runAnswerSignals(SoakState &soak, ActiveFaults &active, TimePoint until)
+{
+    while (RuntimeClock::now() < until) {
+        co_await sleepFor(randomDuration(soak, MinDepartureInterval, MaxDepartureInterval));
+        SoakEndpoint &endpoint = *soak.endpoints[randomBelow(soak, soak.endpoints.size())];
+        if (!isRunning(endpoint) || endpoint.departedAt || endpoint.saysThatItLeaves)
+            continue;
+        if (randomBelow(soak, 3) == 0) {
+            ++active.count;
+            asio::co_spawn(soak.context, leaveByAnswers(soak, endpoint),
+                           [&active](const std::exception_ptr &) { --active.count; });
+            continue;
+        }
+        endpoint.holdOff = randomDuration(soak, MinHoldOff, MaxHoldOff);
+        if (randomBelow(soak, 4) != 0)
+            endpoint.holdOff /= 10;
+        endpoint.heldOffEntries = randomBelow(soak, std::uint64_t{1} << soak.nodes.size());
+        endpoint.holdsOffUntil =
+                RuntimeClock::now() + std::min<Duration>(endpoint.holdOff, MaxHoldOff / 10);
+        logFault(soak, endpoint.id + " wants no requests for a while");
+    }
+    --active.count;
+}
+
 // Lets requests with one prompt part end engines for a part of the test.
 asio::awaitable<void> runEndingPart(SoakState &soak)
 {
@@ -325,8 +372,9 @@
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     ActiveFaults active;
-    ++active.count;
+    active.count += 2;
     asio::co_spawn(soak.context, runDepartures(soak, active, until), asio::detached);
+    asio::co_spawn(soak.context, runAnswerSignals(soak, active, until), asio::detached);
     while (RuntimeClock::now() < until) {
         ++soak.counts.faults;
         ++active.count;
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "answerchecks.h"
 #include "faultproxy.h"
 #include "loadchecks.h"
 #include "support/enginefleet.h"
@@ -97,6 +98,17 @@
 
     // Time at which a control VM acknowledged that this incarnation leaves.
     std::optional<TimePoint> departedAt;
+
+    // The endpoint says in its answers that it leaves, and to nobody else.
+    bool saysThatItLeaves = false;
+
+    // The endpoint refuses requests of some entries with this time until then.
+    Duration holdOff{};
+    TimePoint holdsOffUntil{};
+    std::size_t heldOffEntries = 0; // bit for each entry
+
+    bool hasConnectionFault = false;
+    TimePoint lastConnectionFaultAt{};
 };
 
 // A booking must run at most once. A lookup can be repeated.
@@ -119,6 +131,7 @@
 
     // Address of the entry for callers.
     std::string entry;
+    TimePoint sentAt{};
 
     // Times that the request reached an endpoint, whether it was run or not.
     std::uint32_t arrivals = 0;
@@ -187,6 +200,8 @@
     // By endpoint id.
     LimitedLoads limitedLoads;
 
+    ToldEntries toldEntries;
+
     // Stops the callers and the operator.
     bool isOver = false;
 };
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -167,8 +167,12 @@
     // Writes a response or its head, with the limit of the endpoint if it names one.
     asio::awaitable<bool> respond(const HttpHead &request, std::string text)
     {
+        const auto sent = soak.sent.find(headerValue(request, "X-Trefoilrun-Attempt-Id"));
+        if (endpoint.saysThatItLeaves && sent != soak.sent.end()) {
+            recordLeavingTold(soak, endpoint, sent->second.entry);
+            text.insert(text.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+        }
         if (const auto limit = currentLimit(soak, endpoint.id)) {
-            const auto sent = soak.sent.find(headerValue(request, "X-Trefoilrun-Attempt-Id"));
             if (sent != soak.sent.end())
                 recordToldEntry(soak, endpoint.id, sent->second.entry);
             text.insert(text.find("\r\n") + 2, "Server-Limit: " + std::to_string(*limit) + "\r\n");
@@ -317,6 +321,25 @@
                                       + entry->name + " after its departure had been acknowledged");
 }
 
+// Returns a refusal if the endpoint wants no requests of this entry, with or without a proof that
+// the request has not run.
+std::optional<std::string> makeHoldOffResponse(SoakState &soak, const SoakEndpoint &endpoint,
+                                               const SentRequest &request, const HttpHead &head)
+{
+    const SoakNode *entry = findEntry(soak, request.entry);
+    if (!entry || RuntimeClock::now() >= endpoint.holdsOffUntil)
+        return std::nullopt;
+    const auto number = static_cast<std::size_t>(entry - soak.nodes.data());
+    if ((endpoint.heldOffEntries >> number & 1) == 0)
+        return std::nullopt;
+    const double seconds = std::chrono::duration<double>(endpoint.holdOff).count();
+    std::vector<HttpField> fields{{"Retry-After", std::to_string(seconds)}};
+    if (randomBelow(soak, 2) == 0)
+        fields.push_back({"X-Trefoilrun-Not-Executed", "1"});
+    recordHoldOffTold(soak, endpoint, request.entry, endpoint.holdOff);
+    return makeResponseText(503, head, "", fields);
+}
+
 // Handles one request. Returns whether the connection stays open.
 asio::awaitable<bool> handleRequest(Session &session, const HttpHead &head, const std::string &body)
 {
@@ -331,6 +354,9 @@
     SentRequest *request = checkRequest(session.soak, head, body);
     if (!request)
         co_return false;
+    checkToldEntry(session.soak, endpoint, *request);
+    if (auto refusal = makeHoldOffResponse(session.soak, endpoint, *request, head))
+        co_return co_await session.respond(head, std::move(*refusal));
     const bool isStream = request->kind == RequestKind::Stream;
     if (isStream != endpoint.isEngine) {
         reportViolation(session.soak, "request for " + head.target + " reached the wrong service");
@@ -584,6 +610,8 @@
 void crashEndpoint(SoakState &soak, SoakEndpoint &endpoint)
 {
     endpoint.departedAt.reset();
+    endpoint.saysThatItLeaves = false;
+    endpoint.holdsOffUntil = TimePoint{};
     if (endpoint.isEngine)
         crashEngine(soak.fleet, endpoint.id);
     endpoint.listener.reset();
