--- a/tests/soak/answerchecks.cpp
+++ b/tests/soak/answerchecks.cpp
@@ -15,17 +15,15 @@
 constexpr auto HoldOffDelay = std::chrono::milliseconds(500);
 constexpr std::size_t AllowedArrivals = 2;
 
-// An answer may not have arrived if the connections to the endpoint were disturbed around it, and
-// requests may arrive late after that.
 constexpr auto DisturbedTime = std::chrono::seconds(1);
 
+} // namespace
+
 bool isDisturbed(const SoakEndpoint &endpoint, TimePoint since)
 {
     return endpoint.hasConnectionFault || endpoint.lastConnectionFaultAt > since - DisturbedTime;
 }
 
-} // namespace
-
 void recordLeavingTold(SoakState &soak, const SoakEndpoint &endpoint, const std::string &entry)
 {
     const TimePoint now = RuntimeClock::now();
--- a/tests/soak/answerchecks.h
+++ b/tests/soak/answerchecks.h
@@ -33,6 +33,10 @@
 // By endpoint id, then by the entry's address for callers.
 using ToldEntries = std::map<std::string, std::map<std::string, ToldEntry>>;
 
+// Returns whether the connections to the endpoint were disturbed since shortly before this time, so
+// that what was sent then may arrive later or never.
+bool isDisturbed(const SoakEndpoint &endpoint, TimePoint since);
+
 void recordLeavingTold(SoakState &soak, const SoakEndpoint &endpoint, const std::string &entry);
 void recordHoldOffTold(SoakState &soak, const SoakEndpoint &endpoint, const std::string &entry,
                        Duration duration);
