--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1025,16 +1025,19 @@
 // A stream breaks off, and the endpoint that should go on answers with an error.
 BOOST_AUTO_TEST_CASE(error_of_the_next_endpoint_ends_up_in_the_stream)
 {
-    const std::string errors[] = {
-            "HTTP/1.1 500 Internal Server Error\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
-            "Content-Length: 8\r\n\r\nexploded",
-            "HTTP/1.1 500 Internal Server Error\r\nX-Trefoilrun-Attempt-Id: id1\r\n"
-            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            "14\r\nid: 2\ndata: exploded\n\r\n0\r\n\r\n",
-            makeRefusal(NotExecutedField) + "exploded",
-            makeRefusal(""),
-            makeSuccess("exploded"),
-            "exploded"};
+    const std::string failureHead =
+            "HTTP/1.1 500 Internal Server Error\r\nX-Trefoilrun-Attempt-Id: id1\r\n";
+    const std::string failure = failureHead + "Content-Length: 8\r\n\r\nexploded";
+    const std::string failedStream = failureHead
+                                     + "Content-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"
+                                     + toChunk("id: 2\ndata: exploded\n\n") + "0\r\n\r\n";
+    const std::string errors[] = {failure,
+                                  failedStream,
+                                  makeRefusal(NotExecutedField) + "exploded",
+                                  makeRefusal(""),
+                                  makeSuccess("exploded"),
+                                  "exploded"};
     for (const std::string &error : errors) {
         RelayFixture fixture;
         fixture.publish(RouteKind::Stream, 2);
