libfleet: a late answer of an ended incarnation does not end a hold-off

What callers would see: requests at an endpoint that wants none. Cause: the hold-off of an endpoint was replaced by whatever incarnation answered last, and an answer of one that has ended may arrive after the next one has named its time (found by reading). Change: an earlier incarnation changes nothing. test_holdoffs, a_late_answer_ends_the_time_of_a_later_incarnation, fails without the change.

--- a/src/libfleet/holdoffs.cpp
+++ b/src/libfleet/holdoffs.cpp
@@ -12,6 +12,8 @@
     std::uniform_real_distribution<double> spread(0, HoldOffSpread);
     const auto extra = std::chrono::duration_cast<Duration>(duration * spread(rng));
     HoldOff &holdOff = holdOffs.byEndpoint[endpoint];
+    if (startedAtMs < holdOff.startedAtMs)
+        return Duration::zero(); // A late answer of an incarnation that has ended.
     if (holdOff.startedAtMs != startedAtMs)
         holdOff = {startedAtMs, now};
     holdOff.until = std::max(holdOff.until, now + duration + std::min(extra, MaxHoldOffSpread));
--- a/src/libfleet/holdoffs.h
+++ b/src/libfleet/holdoffs.h
@@ -29,7 +29,8 @@
 };
 
 // Records that an incarnation wants no request for a time, and returns how long this entry sends
-// it none. A shorter time does not end an earlier one.
+// it none. A shorter time does not end an earlier one, and an incarnation that has ended none of a
+// later one.
 Duration recordHoldOff(HoldOffs &holdOffs, const EndpointId &endpoint, std::uint64_t startedAtMs,
                        Duration duration, std::mt19937_64 &rng, TimePoint now);
 
--- a/tests/test_holdoffs.cpp
+++ b/tests/test_holdoffs.cpp
@@ -119,6 +119,16 @@
     BOOST_CHECK(fixture.state.holdOffs.byEndpoint.empty());
 }
 
+// The answer of an incarnation that has ended arrives after one of the next.
+BOOST_AUTO_TEST_CASE(a_late_answer_ends_the_time_of_a_later_incarnation)
+{
+    HoldOffFixture fixture;
+    applyReport(fixture.state.table, makeReport("e1", 6), {}, Start);
+    recordHoldOff(fixture.state.holdOffs, "e1", 6, seconds(10), fixture.state.rng, Start);
+    BOOST_CHECK(fixture.holdOff("e1", seconds(1), Start + seconds(1)) == Duration::zero());
+    BOOST_CHECK_EQUAL(fixture.place(Start + seconds(5)).endpoint, "e2");
+}
+
 // The request was placed, and another one was told to hold off while its connection was opened.
 BOOST_AUTO_TEST_CASE(a_request_is_sent_to_an_endpoint_that_became_unusable)
 {
