libfleet, libgateway: requests during a planned stop end before the process does

Cause: an entry took every request for 4 s after the signal and ended the process 0.5 s before the bound with all connections in use. Both times knew nothing of the requests.

Change: libfleet/stopplan decides without I/O. An attempt starts during a stop only if its deadline or twice its predicted time ends before the last answers are due; otherwise 503 at once.

Tests: request_that_would_outlast_a_planned_stop_is_taken, running_request_ends_without_answer_at_a_planned_stop, stream_that_a_planned_stop_ends_looks_complete, requests_outlast_a_planned_stop.

--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -19,3 +19,4 @@
 #include "libfleet/retrybudget.h"
 #include "libfleet/seatplan.h"
 #include "libfleet/serviceconfiguration.h"
+#include "libfleet/stopplan.h"
--- a/src/libfleet/placement.cpp
+++ b/src/libfleet/placement.cpp
@@ -391,6 +391,23 @@
     return endpoints;
 }
 
+const char *describe(PlacementVerdict verdict)
+{
+    switch (verdict) {
+    case PlacementVerdict::Send:
+        return "sent";
+    case PlacementVerdict::NoEndpoint:
+        return "no endpoint takes the request";
+    case PlacementVerdict::Overloaded:
+        return "overloaded";
+    case PlacementVerdict::Limited:
+        return "the limits of the endpoints are used up";
+    case PlacementVerdict::HeldOff:
+        return "the endpoints take no requests for now";
+    }
+    return "";
+}
+
 bool hasUntriedEndpoint(const PlacementState &state, const PlacementRequest &request, TimePoint now)
 {
     const auto endpoints =
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -130,6 +130,9 @@
 // Chooses an endpoint for the request or refuses it, and counts its arrival.
 Placement placeRequest(PlacementState &state, const PlacementRequest &request, TimePoint now);
 
+// Returns why a request with this verdict is not sent.
+const char *describe(PlacementVerdict verdict);
+
 // Returns true when an endpoint that the request has not tried may take it.
 bool hasUntriedEndpoint(const PlacementState &state, const PlacementRequest &request,
                         TimePoint now);
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -40,9 +40,6 @@
 constexpr auto MinDigestInterval = std::chrono::milliseconds(100);
 constexpr auto DigestIntervalPerPeer = std::chrono::milliseconds(3);
 
-// A planned stop ends this long before its maximum time.
-constexpr auto StopMargin = std::chrono::milliseconds(500);
-
 // A planned stop takes at least this long, so that callers learn of it.
 constexpr auto MinStopTime = std::chrono::milliseconds(4500);
 
@@ -167,12 +164,11 @@
 
 void EntryProcess::stop(std::function<void()> done)
 {
-    if (state_.isDraining)
+    if (state_.stop)
         return; // A second signal does not shorten the planned stop.
     logEvent(Event::Stopping, {{"active_requests", std::to_string(state_.activeRequests)}});
     onStopped_ = std::move(done);
-    state_.isDraining = true;
-    state_.drainingSince = RuntimeClock::now();
+    state_.stop = StopPlan{RuntimeClock::now(), state_.settings.maxStopTime};
     controlLinks_.broadcastHello();
     for (AsyncCondition *signal : state_.sessionSignals)
         signal->notify();
@@ -509,7 +505,7 @@
 
 bool EntryProcess::isReady() const
 {
-    return state_.config && !state_.isDraining;
+    return state_.config && !state_.stop;
 }
 
 asio::awaitable<ServerResponse> EntryProcess::handleMetricsRequest(ServerRequest request)
@@ -568,8 +564,8 @@
         response.body = state_.dialect.encodeError("no such call");
     } else if (!isReady()) {
         response.status = 503;
-        response.body = state_.dialect.encodeError(
-                state_.isDraining ? "the entry stops" : "no configuration is known yet");
+        response.body = state_.dialect.encodeError(state_.stop ? "the entry stops"
+                                                               : "no configuration is known yet");
     }
     co_return response;
 }
@@ -578,9 +574,9 @@
 {
     if (!onStopped_)
         return;
-    const Duration elapsed = RuntimeClock::now() - state_.drainingSince;
-    const bool isIdle = state_.activeRequests == 0 && elapsed > MinStopTime;
-    const bool isOverdue = elapsed > state_.settings.maxStopTime - StopMargin;
+    const TimePoint now = RuntimeClock::now();
+    const bool isIdle = state_.activeRequests == 0 && now - state_.stop->startedAt > MinStopTime;
+    const bool isOverdue = now > endOfStop(*state_.stop);
     if (!isIdle && !isOverdue)
         return;
     if (!isIdle)
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -79,8 +80,8 @@
     // Number of requests that arrived since the start.
     std::uint64_t requestCount = 0;
 
-    bool isDraining = false;
-    TimePoint drainingSince{};
+    // Set during a planned stop.
+    std::optional<StopPlan> stop;
 };
 
 // Returns the retry budget of a service, which starts empty.
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -3,6 +3,7 @@
 #include "libgateway/engineends.h"
 #include "libgateway/entryconnections.h"
 #include "libgateway/entryquarantine.h"
+#include "libgateway/entrystop.h"
 #include "libgateway/responserelay.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
@@ -54,12 +55,6 @@
     return true;
 }
 
-Placement placeNextAttempt(RelayContext &context, const RelayRequest &request,
-                           const RelayProgress &progress, TimePoint now)
-{
-    return placeRequest(context.state.placement, makePlacementRequest(request, progress, now), now);
-}
-
 bool mayRetry(const RelayRequest &request, const RelayProgress &progress)
 {
     switch (progress.lastOutcome) {
@@ -247,32 +242,27 @@
                                       RelayProgress &progress)
 {
     const TimePoint now = RuntimeClock::now();
-    if (now >= request.deadline) {
+    if (now >= lastMomentOf(context.state, request.deadline)) {
         progress.lastOutcome = AttemptOutcome::TimedOut;
         co_return false;
     }
     if (isRefusedByParts(context, request, progress, now))
         co_return false;
-    const Placement placement = placeNextAttempt(context, request, progress, now);
+    const Placement placement = placeRequest(context.state.placement,
+                                             makePlacementRequest(request, progress, now), now);
     progress.candidateCount = placement.candidateCount;
     progress.retryAfter = placement.retryAfter;
     progress.estimate = placement.estimate;
-    if (placement.verdict == PlacementVerdict::NoEndpoint) {
-        progress.lastReason = "no endpoint takes the request";
-        co_return false;
-    }
-    if (placement.verdict == PlacementVerdict::Overloaded) {
-        progress.lastReason = "overloaded";
-        co_return false;
-    }
-    if (placement.verdict == PlacementVerdict::Limited) {
-        progress.lastReason = "the limits of the endpoints are used up";
-        context.state.metrics.incrementCounter("trefoil_limit_refusals_total", "");
+    if (placement.verdict != PlacementVerdict::Send) {
+        progress.lastReason = describe(placement.verdict);
+        if (placement.verdict == PlacementVerdict::Limited)
+            context.state.metrics.incrementCounter("trefoil_limit_refusals_total", "");
+        if (placement.verdict == PlacementVerdict::HeldOff)
+            context.state.metrics.incrementCounter("trefoil_hold_off_refusals_total", "");
         co_return false;
     }
-    if (placement.verdict == PlacementVerdict::HeldOff) {
-        progress.lastReason = "the endpoints take no requests for now";
-        context.state.metrics.incrementCounter("trefoil_hold_off_refusals_total", "");
+    if (!endsBeforeStop(context.state, placement.estimate, request.deadline)) {
+        progress.lastReason = "the entry stops before the request would end";
         co_return false;
     }
     if (progress.sendCount > 0) {
--- a/src/libgateway/relayrequest.cpp
+++ b/src/libgateway/relayrequest.cpp
@@ -19,7 +19,7 @@
 
 bool keepsConnectionOpen(const RelayContext &context, const RelayRequest &request)
 {
-    return request.keepsAlive && !context.state.isDraining;
+    return request.keepsAlive && !context.state.stop;
 }
 
 PlacementRequest makePlacementRequest(const RelayRequest &request, const RelayProgress &progress,
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/relaysession.h"
 
+#include "libgateway/entrystop.h"
 #include "libgateway/relayattempt.h"
 #include "libgateway/relayrefusal.h"
 #include "libgateway/responserelay.h"
@@ -16,10 +17,8 @@
 
 constexpr auto BodyReadTimeout = std::chrono::seconds(10);
 
-// During a planned stop, idle connections stay open for DrainIdlePeriod, and new requests are
-// accepted for DrainAcceptPeriod.
+// During a planned stop, idle connections stay open for this time.
 constexpr auto DrainIdlePeriod = std::chrono::seconds(3);
-constexpr auto DrainAcceptPeriod = std::chrono::seconds(4);
 
 std::optional<double> parseNumber(std::string_view text)
 {
@@ -62,9 +61,9 @@
         return startedAt + limits.headerTimeout + BodyReadTimeout;
     if (parser.hasStarted())
         return startedAt + limits.headerTimeout;
-    if (context.state.isDraining)
+    if (context.state.stop)
         return std::min(idleSince + limits.idleTimeout,
-                        context.state.drainingSince + DrainIdlePeriod);
+                        context.state.stop->startedAt + DrainIdlePeriod);
     return idleSince + limits.idleTimeout;
 }
 
@@ -233,10 +232,7 @@
         co_return co_await refuseRequest(context, request, refusalStatus, reason);
     recordRequest(retryBudget(context.state, request.service), entryCount(context.state.roster),
                   RuntimeClock::now());
-    const bool isAcceptPeriodOver =
-            context.state.isDraining
-            && RuntimeClock::now() - context.state.drainingSince > DrainAcceptPeriod;
-    if (isAcceptPeriodOver)
+    if (!takesRequests(context.state))
         co_return co_await refuseRequest(context, request, 503, "the entry stops",
                                          Duration(DefaultRetryAfter));
     RelayProgress progress;
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -2,6 +2,7 @@
 
 #include "libgateway/entryanswers.h"
 #include "libgateway/entryquarantine.h"
+#include "libgateway/entrystop.h"
 #include "libruntime/clock.h"
 
 #include <algorithm>
@@ -298,8 +299,9 @@
             co_return AttemptOutcome::Withdrawn;
         }
         const TimePoint now = RuntimeClock::now();
-        if (now >= request.deadline) {
-            progress.lastReason = "the time is over";
+        const TimePoint lastMoment = lastMomentOf(context.state, request.deadline);
+        if (now >= lastMoment) {
+            progress.lastReason = now < request.deadline ? "the entry stops" : "the time is over";
             co_return AttemptOutcome::TimedOut;
         }
         const StallDeadlines stall = computeStallDeadlines(context, request, progress, placement);
@@ -321,9 +323,8 @@
                 co_return recordStall(progress, now >= stall.endpointStalledAt);
             overdueSince = now;
         }
-        co_await context.signal.wait(
-                std::min(request.deadline,
-                         overdueSince ? *overdueSince + StallConfirmationDelay : stallDeadline));
+        co_await context.signal.wait(std::min(
+                lastMoment, overdueSince ? *overdueSince + StallConfirmationDelay : stallDeadline));
     }
 }
 
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -565,4 +565,24 @@
     BOOST_CHECK_EQUAL(planSeats(three, 1, fresh, many, options, Start)->back().id, 5);
 }
 
+BOOST_AUTO_TEST_CASE(requests_outlast_a_planned_stop)
+{
+    const TimePoint start(std::chrono::hours(1));
+    const StopPlan plan{start, std::chrono::seconds(8)};
+    BOOST_CHECK(endOfStop(plan) < start + plan.maxTime);
+    BOOST_CHECK(lastAnswerAt(plan) < endOfStop(plan));
+    BOOST_CHECK(takesRequests(plan, start));
+    BOOST_CHECK(!takesRequests(plan, start + std::chrono::milliseconds(4001)));
+    BOOST_CHECK(!takesRequests({start, std::chrono::milliseconds(600)},
+                               start + std::chrono::milliseconds(301)));
+    TimingEstimate estimate;
+    estimate.total = std::chrono::seconds(2);
+    const TimePoint late = start + std::chrono::hours(1);
+    BOOST_CHECK(endsBeforeStop(plan, estimate, late, start + std::chrono::seconds(3)));
+    BOOST_CHECK(!endsBeforeStop(plan, estimate, late, start + std::chrono::seconds(4)));
+    // Whatever the endpoint does, the request ends with its own time.
+    BOOST_CHECK(
+            endsBeforeStop(plan, estimate, lastAnswerAt(plan), start + std::chrono::seconds(4)));
+}
+
 } // namespace Trefoil
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -705,13 +705,84 @@
     RelayFixture fixture;
     fixture.publish(RouteKind::NonIdempotent, 1);
     fixture.first.responses = {makeSuccess("last")};
-    fixture.state.isDraining = true;
-    fixture.state.drainingSince = RuntimeClock::now();
+    fixture.state.stop = StopPlan{RuntimeClock::now(), seconds(8)};
     fixture.exchange(makeRequest(KeyField, ""), "");
     BOOST_CHECK(contains(fixture.callerInput, "last"));
     BOOST_CHECK(contains(fixture.callerInput, "Connection: close"));
 }
 
+// A planned stop has 1.45 s left for answers, and the endpoint took 0.9 s for the last one.
+BOOST_AUTO_TEST_CASE(request_that_would_outlast_a_planned_stop_is_taken)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::NonIdempotent, 1);
+    fixture.first.responses = {makeSuccess("late")};
+    const TimePoint now = RuntimeClock::now();
+    recordAttempt(fixture.state.placement, "e1", EndpointResult::Served, milliseconds(900), now);
+    fixture.state.stop = StopPlan{now - seconds(2), milliseconds(4200)};
+    fixture.exchange(makeRequest(KeyField, ""), "");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 503"));
+    BOOST_CHECK(contains(fixture.callerInput, "Retry-After: "));
+    BOOST_CHECK(contains(fixture.callerInput, "stops before"));
+    BOOST_CHECK(fixture.first.receivedHeads.empty());
+}
+
+// The answers of the endpoint last longer than the stop may take.
+BOOST_AUTO_TEST_CASE(running_request_ends_without_answer_at_a_planned_stop)
+{
+    for (const RouteKind kind : {RouteKind::NonIdempotent, RouteKind::Idempotent}) {
+        RelayFixture fixture;
+        fixture.publish(kind, 2);
+        fixture.state.stop = StopPlan{RuntimeClock::now(), milliseconds(1200)};
+        fixture.exchange(makeRequest(KeyField, ""), "");
+        BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 504"));
+        BOOST_CHECK(contains(fixture.callerInput, "the entry stops"));
+        const StopPlan &stop = *fixture.state.stop;
+        BOOST_CHECK_LT((RuntimeClock::now() - stop.startedAt).count(),
+                       (endOfStop(stop) - stop.startedAt).count());
+        BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_a_planned_stop_ends_looks_complete)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 1);
+    fixture.first.responses = {makeStreamHead() + toChunk("id: 1\ndata: a\n\n")};
+    fixture.first.repeatedPiece = toChunk("id: 2\ndata: a\n\n");
+    fixture.first.pieceDelay = milliseconds(100);
+    fixture.state.stop = StopPlan{RuntimeClock::now(), milliseconds(1200)};
+    fixture.exchange(makeRequest(KeyField, "{}"), "");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 200"));
+    BOOST_CHECK(!contains(fixture.callerInput, "0\r\n\r\n"));
+    BOOST_CHECK_LT((RuntimeClock::now() - fixture.state.stop->startedAt).count(),
+                   Duration(milliseconds(900)).count());
+}
+
+// Endpoints that stop while they write their heads, at some bytes of them, with and without a
+// length (issue 39). test_httpmessage has all bytes.
+BOOST_AUTO_TEST_CASE(answer_that_ends_inside_its_head_is_forwarded)
+{
+    const std::string withLength = makeSuccess("whole");
+    std::string withoutLength = makeSuccess("whole");
+    withoutLength.erase(withoutLength.find("Content-Length"), 17);
+    for (const std::string &response : {withLength, withoutLength, makeStreamHead()}) {
+        const std::size_t headBytes = response.find("\r\n\r\n") + 4;
+        const RouteKind kind =
+                response == makeStreamHead() ? RouteKind::Stream : RouteKind::NonIdempotent;
+        for (std::size_t bytes = 1; bytes < headBytes; bytes += 11) {
+            RelayFixture fixture;
+            fixture.publish(kind, 1);
+            fixture.first.responses = {response.substr(0, bytes)};
+            fixture.first.closesAfterResponse = true;
+            fixture.exchange(makeRequest(KeyField, "{}"), "the connection ended");
+            BOOST_REQUIRE_MESSAGE(contains(fixture.callerInput, "HTTP/1.1 502"),
+                                  bytes << " bytes: " << fixture.callerInput);
+            BOOST_REQUIRE(!contains(fixture.callerInput, "Response-Seal"));
+        }
+    }
+}
+
 namespace {
 
 std::string makeStreamRequest(const std::string &parts)
