libcoord: a recovery syncs the log before it counts as durable

What callers could see: an acknowledged change is gone after a loss of power, with the disk of another seat.

Cause: an entry that was written but not synced (the sync failed, or the process was killed before it) was read back by the recovery and counted as durable, so it could be acknowledged without a sync.

Change: recover() syncs the log. Test recoveredEntriesAreLostWithThePower: 2 of 3 entries left before, 3 of 3 now.

--- a/src/libcoord/logstore.cpp
+++ b/src/libcoord/logstore.cpp
@@ -187,6 +187,8 @@
     removeOtherGenerations();
     hardState_ = recovered.hardState;
     log_ = files_->openAppend(LogPrefix + std::to_string(generation_));
+    // The seat counts all that was read as durable, also what an earlier write could not sync.
+    log_->sync();
     files_->syncFolder();
     return recovered;
 }
--- a/tests/test_logstore.cpp
+++ b/tests/test_logstore.cpp
@@ -223,4 +223,23 @@
     BOOST_TEST(log.entries.size() == 2u);
 }
 
+// A sync failed, the seat recovered, and the power is lost. What the recovery returned counts as
+// durable, so it may have been acknowledged.
+BOOST_AUTO_TEST_CASE(recoveredEntriesAreLostWithThePower)
+{
+    auto disk = makeDiskWithEntries(2);
+    {
+        LogStore store(openFakeFolder(disk));
+        store.recover();
+        disk->failSync = true;
+        const RaftDiskWrite write = makeAppend({makeEntry(3, 1, "payload")});
+        BOOST_CHECK_THROW(store.write(std::span(&write, 1)), DiskError);
+    }
+    BOOST_CHECK_THROW(recover(disk), DiskError);
+    disk->failSync = false;
+    BOOST_REQUIRE_EQUAL(recover(disk).entries.size(), 3);
+    disk->crash();
+    BOOST_CHECK_EQUAL(recover(disk).entries.size(), 3);
+}
+
 } // namespace Trefoil
