libcoord: a data folder that can not be listed is a disk error

What was seen: nothing yet; found while full disks were looked at. The listing threw std::filesystem::filesystem_error, which nothing catches, so a control VM that recovers while no descriptor is left, or whose folder is gone, ended its process.

Change: list() throws DiskError, and the seat tries again. Test unreadableFolderIsNoDiskError: ends with the other exception before, passes now.

--- a/src/libcoord/filesystem.cpp
+++ b/src/libcoord/filesystem.cpp
@@ -90,8 +90,12 @@
     std::vector<std::string> list() override
     {
         std::vector<std::string> names;
-        for (const auto &entry : std::filesystem::directory_iterator(folder_))
-            names.push_back(entry.path().filename().string());
+        std::error_code error;
+        std::filesystem::directory_iterator entry(folder_, error);
+        for (; !error && entry != std::filesystem::directory_iterator(); entry.increment(error))
+            names.push_back(entry->path().filename().string());
+        if (error)
+            throw DiskError("cannot list '" + folder_ + "': " + error.message());
         return names;
     }
 
--- a/tests/test_logstore.cpp
+++ b/tests/test_logstore.cpp
@@ -242,4 +242,14 @@
     BOOST_CHECK_EQUAL(recover(disk).entries.size(), 3);
 }
 
+// The folder can not be read, for example because no descriptor is left. That must not end the
+// process.
+BOOST_AUTO_TEST_CASE(unreadableFolderIsNoDiskError)
+{
+    const std::string path = temporaryFolder("unreadable");
+    const auto folder = openPosixFolder(path);
+    std::filesystem::remove_all(path);
+    BOOST_CHECK_THROW(folder->list(), DiskError);
+}
+
 } // namespace Trefoil
