--- a/tests/support/fakefilesystem.cpp
+++ b/tests/support/fakefilesystem.cpp
@@ -16,6 +16,7 @@
 
     void append(std::string_view bytes) override
     {
+        disk_->checkOperation("append");
         const std::size_t writtenBytes = std::min(bytes.size(), disk_->freeBytes);
         if (disk_->freeBytes != SIZE_MAX)
             disk_->freeBytes -= writtenBytes;
@@ -26,6 +27,7 @@
 
     void sync() override
     {
+        disk_->checkOperation("sync");
         if (disk_->failSync)
             throw DiskError("sync failed");
         file_->syncedBytes = file_->data.size();
@@ -55,6 +57,7 @@
 
     std::unique_ptr<AppendFile> openAppend(const std::string &name) override
     {
+        disk_->checkOperation("openAppend");
         auto &entry = disk_->files[name];
         if (!entry)
             entry = std::make_shared<FakeDisk::File>();
@@ -63,20 +66,27 @@
 
     void truncate(const std::string &name, std::uint64_t size) override
     {
+        disk_->checkOperation("truncate");
         file(name)->data.resize(size);
         file(name)->syncedBytes = size;
     }
 
     void rename(const std::string &from, const std::string &to) override
     {
+        disk_->checkOperation("rename");
         disk_->files[to] = file(from);
         disk_->files.erase(from);
     }
 
-    void remove(const std::string &name) override { disk_->files.erase(name); }
+    void remove(const std::string &name) override
+    {
+        disk_->checkOperation("remove");
+        disk_->files.erase(name);
+    }
 
     void syncFolder() override
     {
+        disk_->checkOperation("syncFolder");
         if (disk_->failSync)
             throw DiskError("sync failed");
         if (!disk_->ignoreFolderSync)
@@ -97,6 +107,12 @@
 
 } // namespace
 
+void FakeDisk::checkOperation(const std::string &operation) const
+{
+    if (operation == failingOperation)
+        throw DiskError(operation + " failed");
+}
+
 void FakeDisk::crash(std::size_t survivingBytes)
 {
     files = durableFiles;
--- a/tests/support/fakefilesystem.h
+++ b/tests/support/fakefilesystem.h
@@ -23,6 +23,10 @@
     bool failSync = false;
     std::size_t freeBytes = SIZE_MAX; // a write that needs more fails
     bool ignoreFolderSync = false;
+    std::string failingOperation; // each call of this operation of FileSystem or AppendFile fails
+
+    // Throws when the operation is to fail.
+    void checkOperation(const std::string &operation) const;
 
     // Drops all unsynced data and names, except for `survivingBytes` of the unsynced data of each
     // file.
