test_relay: heads that end early are played without waiting for idle time

The caller waited for a text that the answer does not contain, and so for the idle time of its connection. The test takes seconds now instead of minutes; what it checks is the same.

--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -775,7 +775,7 @@
             fixture.publish(kind, 1);
             fixture.first.responses = {response.substr(0, bytes)};
             fixture.first.closesAfterResponse = true;
-            fixture.exchange(makeRequest(KeyField, "{}"), "the connection ended");
+            fixture.exchange(makeRequest(KeyField, "{}"), "HTTP/1.1 502");
             BOOST_REQUIRE_MESSAGE(contains(fixture.callerInput, "HTTP/1.1 502"),
                                   bytes << " bytes: " << fixture.callerInput);
             BOOST_REQUIRE(!contains(fixture.callerInput, "Response-Seal"));
