libfleet: a new leader does not close groups whose members have not reported yet

What callers saw: after a restart of all control VMs, groups that served were closed and formed again. In the test 8 of 16 groups were left open.

Cause: a new leader counted the silence of VMs from a moment at which nobody listened: after 1.8 s a member that had not reported closed its group, although heartbeats need longer when the control VM that a VM reported to is gone. The records of the log made this worse, since groups are known before any report.

Change: silence of the members of an inherited group counts from the election, for as long as in a serving group (1.8 s if entries report a stall), and not before any member was heard.

--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -128,6 +128,19 @@
     return std::nullopt;
 }
 
+// Returns true when members that have not reported yet may count as lost. After a restart of all
+// control VMs, reports need longer than a heartbeat interval, and groups serve meanwhile; a group
+// that entries report as stalled does not.
+bool isGatheringOver(const PlanningStep &step, const FleetGroup &group)
+{
+    const GroupPlanner &planner = step.planner;
+    const bool isAnyLive = std::any_of(group.members.begin(), group.members.end(),
+                                       [&step](const EndpointId &id) { return step.findLive(id); });
+    if (!isAnyLive || step.now < planner.gatherReportsUntil)
+        return false;
+    return isStalled(step, group) || step.now >= planner.leadsSince + planner.options.lossTimeout;
+}
+
 } // namespace
 
 bool continueReportedGroup(PlanningStep &step, FleetGroup &group, bool &hasEnded)
@@ -160,7 +173,7 @@
     if (continueReportedGroup(step, group, hasEnded))
         return hasEnded;
     joinMembers(step, group, engine);
-    if (step.now >= step.planner.gatherReportsUntil)
+    if (isGatheringOver(step, group))
         setState(group, GroupState::Forming, step.now);
     return false;
 }
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -7,20 +7,6 @@
 
 namespace {
 
-// Returns true while entries report a stall at the head and none sees progress. A VM of a stalled
-// group counts as lost after a shorter silence.
-bool isStalled(const PlanningStep &step, const FleetGroup &group)
-{
-    const GroupPlanner &planner = step.planner;
-    const auto stall = planner.lastStallByHead.find(group.members.front());
-    const auto progress = planner.lastProgressByHead.find(group.members.front());
-    if (stall == planner.lastStallByHead.end())
-        return false;
-    const bool isRefuted = progress != planner.lastProgressByHead.end()
-                           && step.now - progress->second < planner.options.stallRefutationTime;
-    return !isRefuted && step.now - stall->second < planner.options.stallReportLifetime;
-}
-
 // Returns the reason why an endpoint takes no new work. `live` is null when the endpoint was not
 // heard within the loss timeout.
 const char *unusableReason(const Endpoint *live)
@@ -75,6 +61,18 @@
 
 } // namespace
 
+bool isStalled(const PlanningStep &step, const FleetGroup &group)
+{
+    const GroupPlanner &planner = step.planner;
+    const auto stall = planner.lastStallByHead.find(group.members.front());
+    const auto progress = planner.lastProgressByHead.find(group.members.front());
+    if (stall == planner.lastStallByHead.end())
+        return false;
+    const bool isRefuted = progress != planner.lastProgressByHead.end()
+                           && step.now - progress->second < planner.options.stallRefutationTime;
+    return !isRefuted && step.now - stall->second < planner.options.stallReportLifetime;
+}
+
 std::optional<MissingMember> findMissingMember(const PlanningStep &step, const FleetGroup &group)
 {
     const bool isGroupStalled = isStalled(step, group);
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -142,6 +142,7 @@
     GroupPlanner planner;
     planner.options = options;
     planner.term = term;
+    planner.leadsSince = now;
     planner.gatherReportsUntil = now + options.reportGatheringTime;
     planner.vmArrivalDeadline = now + options.vmArrivalTimeout;
     planner.lastVmArrivalAt = now;
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -157,6 +157,7 @@
     std::uint64_t term = 0;      // of the leader
     std::uint64_t nextEpoch = 1; // above all epochs of earlier leaders
     std::uint64_t nextOrderNumber = 1;
+    TimePoint leadsSince{};
     // Until this time, members of groups of an earlier leader may not have reported yet.
     TimePoint gatherReportsUntil{};
     // Groups of this epoch and later ones were recorded before they formed. When the log does not
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -74,6 +74,10 @@
 // Drops pending orders whose effect was reported or that timed out.
 void dropFinishedOrders(PlanningStep &step);
 
+// Returns true while entries report a stall at the head and none sees progress. A VM of a stalled
+// group counts as lost after a shorter silence.
+bool isStalled(const PlanningStep &step, const FleetGroup &group);
+
 // Returns a member that is lost or about to leave, if any.
 std::optional<MissingMember> findMissingMember(const PlanningStep &step, const FleetGroup &group);
 
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -587,6 +587,29 @@
     checkInvariants(fleet);
 }
 
+// All control VMs start anew. The reports of the VMs arrive within 2.8 s.
+BOOST_AUTO_TEST_CASE(a_restart_of_all_control_vms_closes_groups_that_serve)
+{
+    EngineFleet fleet = makeServingFleet(6, 1);
+    const std::size_t before = countOpenGroups(fleet, "large") + countOpenGroups(fleet, "small");
+    for (SimulatedControlVm &vm : fleet.controlVms)
+        vm.table = EndpointTable{};
+    fleet.reports.clear();
+    changeLeader(fleet);
+    Duration delay{};
+    for (auto &[id, engine] : fleet.engines) {
+        engine.nextReport = fleet.now + delay;
+        engine.reportsTo = fleet.leader;
+        delay = (delay + milliseconds(700)) % milliseconds(2800);
+    }
+    for (int step = 0; step < 100; ++step) {
+        runFleet(fleet, milliseconds(50));
+        BOOST_REQUIRE_EQUAL(countOpenGroups(fleet, "large") + countOpenGroups(fleet, "small"),
+                            before);
+    }
+    checkInvariants(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(the_log_assigns_a_vm_to_two_groups)
 {
     const GroupRecord first{"g1", 7, "drafts", "large", "fabric-0", false, {{"a", 1}, {"b", 1}}};
