soak: requests that are lost beside planned work or on kept connections

The soak checked no such promise. The numbers of entries and control VMs can be chosen, so that it plays the sizes of the deployments.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -354,6 +354,30 @@
         reportViolation(soak, "request " + id + " was refused with " + std::to_string(status));
 }
 
+// Returns true while the last fault of the node is planned work.
+bool isInPlannedWork(const SoakNode &node)
+{
+    return node.plannedWorkAt != TimePoint{} && node.plannedWorkAt == node.lastFaultAt;
+}
+
+// Reports a request that was passed on to an endpoint and whose connection ended without a whole
+// answer, although nothing but planned work happened to its entry. Whatever the endpoint does, the
+// entry can answer. A stream that has begun may end early with its endpoint.
+void checkForLoss(SoakState &soak, const std::string &id, const SoakNode &node,
+                  const ExchangeResult &result, bool wasCalm)
+{
+    const SentRequest &request = soak.sent[id];
+    const bool hasBegunStream = request.kind == RequestKind::Stream && result.status != 0;
+    if (result.isComplete || hasBegunStream || request.arrivals == 0)
+        return;
+    const bool isCalm = isUndisturbed(node, FaultRecoveryTime);
+    const bool isPlanned = wasCalm && isInPlannedWork(node);
+    if (!isCalm && !isPlanned)
+        return;
+    reportViolation(soak, "request " + id + " was passed on by " + node.name + " and lost "
+                                  + (isPlanned ? "during planned work" : "on a kept connection"));
+}
+
 // Checks a response against the request, and keeps the last event of some interrupted streams to
 // resume them.
 void checkResponse(SoakState &soak, Caller &caller, const std::string &id,
@@ -429,6 +453,9 @@
     const bool disconnects = isStream && randomFraction(soak) < DisconnectProbability;
     const TimePoint disconnectAt =
             disconnects ? now + std::chrono::milliseconds(300) : TimePoint::max();
+    const SoakNode *entry = findEntry(soak, caller.entry);
+    const bool wasCalm =
+            entry && (isUndisturbed(*entry, FaultRecoveryTime) || isInPlannedWork(*entry));
     const ExchangeResult result = co_await exchangeRequest(
             caller.channel, makeRequestText(request, id, caller.lastEvent, timeout),
             now + timeout + ResponseTolerance, disconnectAt);
@@ -436,11 +463,15 @@
         caller.lastEvent = 0;
         co_return;
     }
-    const SoakNode *node = findEntry(soak, caller.entry);
     const bool isTimedOut = RuntimeClock::now() >= now + timeout + ResponseTolerance;
-    if (isTimedOut && node && isUndisturbed(*node, timeout + ResponseTolerance + FaultRecoveryTime))
-        reportViolation(soak, "request " + id + " got no response from " + node->name
+    if (isTimedOut && entry
+        && isUndisturbed(*entry, timeout + ResponseTolerance + FaultRecoveryTime))
+        reportViolation(soak, "request " + id + " got no response from " + entry->name
                                       + " long after its deadline");
+    if (entry && isInPlannedWork(*entry))
+        ++soak.counts.duringPlannedWork;
+    if (entry && !isTimedOut)
+        checkForLoss(soak, id, *entry, result, wasCalm);
     checkResponse(soak, caller, id, result);
 }
 
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -43,6 +43,11 @@
 constexpr auto MinLingerTime = seconds(3);
 constexpr auto MaxLingerTime = seconds(8);
 
+// Pause between planned stops and reloads of entries, and the time without a fault before them.
+constexpr auto MinPlannedInterval = milliseconds(300);
+constexpr auto MaxPlannedInterval = seconds(3);
+constexpr auto MinCalmTime = milliseconds(3100);
+
 // Times for which endpoints want no requests.
 constexpr auto MinHoldOff = milliseconds(200);
 constexpr auto MaxHoldOff = seconds(20);
@@ -110,11 +115,13 @@
     if (draw < 3) {
         co_await restartNode(soak, node, SIGKILL, false, duration);
     } else if (draw < 5) {
+        soak.counts.plannedWork += isControl ? 0 : 1;
         co_await restartNode(soak, node, SIGTERM, false, duration);
     } else if (draw < 8) {
         co_await pauseNode(soak, node, duration);
     } else if (draw == 8) {
         logFault(soak, node.name + " reads its settings again");
+        soak.counts.plannedWork += isControl ? 0 : 1;
         signalNode(node, SIGHUP);
     } else if (isControl && active.lostDisks == 0) {
         ++active.lostDisks;
@@ -317,6 +324,30 @@
     --active.count;
 }
 
+// Stops entries as planned and lets them read their settings again, in series. Entries with a
+// recent fault are left out, so that what is lost there is known to come from the planned work.
+asio::awaitable<void> runPlannedWork(SoakState &soak, ActiveFaults &active, TimePoint until)
+{
+    while (RuntimeClock::now() < until) {
+        co_await sleepFor(randomDuration(soak, MinPlannedInterval, MaxPlannedInterval));
+        SoakNode &node = randomNode(soak, "entry");
+        if (!isUndisturbed(node, MinCalmTime))
+            continue;
+        ++soak.counts.plannedWork;
+        if (randomBelow(soak, 2) == 0) {
+            logFault(soak, node.name + " reads its settings again");
+            signalNode(node, SIGHUP);
+            continue;
+        }
+        ++active.count;
+        asio::co_spawn(soak.context,
+                       restartNode(soak, node, SIGTERM, false,
+                                   randomDuration(soak, MinFaultDuration, MaxFaultDuration)),
+                       [&active](const std::exception_ptr &) { --active.count; });
+    }
+    --active.count;
+}
+
 // Lets requests with one prompt part end engines for a part of the test.
 asio::awaitable<void> runEndingPart(SoakState &soak)
 {
@@ -372,7 +403,8 @@
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     ActiveFaults active;
-    active.count += 2;
+    active.count += 3;
+    asio::co_spawn(soak.context, runPlannedWork(soak, active, until), asio::detached);
     asio::co_spawn(soak.context, runDepartures(soak, active, until), asio::detached);
     asio::co_spawn(soak.context, runAnswerSignals(soak, active, until), asio::detached);
     while (RuntimeClock::now() < until) {
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -27,6 +27,9 @@
 constexpr auto StopTolerance = std::chrono::seconds(4);
 constexpr auto PollInterval = std::chrono::milliseconds(50);
 
+// Planned work counts as such when no fault was this short before it.
+constexpr auto CalmTime = std::chrono::seconds(3);
+
 std::string quoted(const std::string &text)
 {
     return "\"" + text + "\"";
@@ -86,7 +89,11 @@
 
 void signalNode(SoakNode &node, int signal)
 {
+    const bool isPlanned = signal == SIGTERM || signal == SIGHUP;
+    const bool wasUndisturbed = RuntimeClock::now() - node.lastFaultAt > CalmTime;
     node.lastFaultAt = RuntimeClock::now();
+    if (isPlanned && wasUndisturbed && !node.isPaused)
+        node.plannedWorkAt = node.lastFaultAt;
     if (node.process && node.process->running())
         ::kill(node.process->id(), signal);
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -73,7 +73,9 @@
               << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
               << soak.lateEndingRequests << " late ones, " << repeats << " repeats, "
               << limitedArrivals << " requests at limited endpoints, " << counts.departures
-              << " departures" << std::endl;
+              << " departures, " << counts.plannedWork
+              << " planned stops and reloads of entries with " << counts.duringPlannedWork
+              << " requests" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
@@ -117,6 +119,10 @@
                               "seed of the faults and the callers");
     description.add_options()("seconds", po::value(&seconds)->default_value(seconds),
                               "duration of the faults in seconds");
+    description.add_options()("entries", po::value(&options.entries)->default_value(3),
+                              "number of entries");
+    description.add_options()("control", po::value(&options.controlVms)->default_value(3),
+                              "number of control VMs");
     description.add_options()("daemon", po::value(&options.daemon)->required(),
                               "path of trefoilrund");
     description.add_options()("folder", po::value(&options.folder)->required(),
--- a/tests/soak/soakworld.cpp
+++ b/tests/soak/soakworld.cpp
@@ -28,7 +28,8 @@
     SoakNode node;
     node.role = role;
     node.name = role + "-" + std::to_string(number);
-    node.domain = "d" + std::to_string(number);
+    constexpr std::size_t domains = 3;
+    node.domain = "d" + std::to_string((number - 1) % domains + 1);
     node.address = loopbackNetwork(soak.options) + (role == "control" ? ".1." : ".2.")
                    + std::to_string(number);
     node.folder = soak.options.folder + "/" + node.name;
@@ -42,10 +43,9 @@
     , rng(options.seed)
     , startedAt(RuntimeClock::now())
 {
-    constexpr std::size_t nodesOfRole = 3;
-    for (std::size_t i = 1; i <= nodesOfRole; ++i)
+    for (std::size_t i = 1; i <= options.controlVms; ++i)
         nodes.push_back(makeNode(*this, "control", i));
-    for (std::size_t i = 1; i <= nodesOfRole; ++i)
+    for (std::size_t i = 1; i <= options.entries; ++i)
         nodes.push_back(makeNode(*this, "entry", i));
 }
 
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -32,6 +32,10 @@
     // Time with faults. Start, recovery and stop take additional time.
     std::chrono::seconds duration{20};
 
+    // Numbers of entries and control VMs.
+    std::size_t entries = 3;
+    std::size_t controlVms = 3;
+
     // Path of trefoilrund.
     std::string daemon;
 
@@ -63,6 +67,10 @@
 
     // Time of the last start or signal.
     TimePoint lastFaultAt{};
+
+    // Time of the last planned work on this node, a stop or new settings, that began without
+    // another fault shortly before.
+    TimePoint plannedWorkAt{};
 };
 
 // Fraction of the requests of which a plain endpoint loses the response after it ran them.
@@ -153,6 +161,10 @@
     std::uint64_t publishedConfigurations = 0;
     std::uint64_t faults = 0;
     std::uint64_t departures = 0;
+    std::uint64_t plannedWork = 0; // on entries
+
+    // Requests that were sent to entries during planned work there.
+    std::uint64_t duringPlannedWork = 0;
 };
 
 // The running soak test.
