libfleet: groups of VMs that are gone do not stay in the log

What callers could see: fewer groups of a model than its share, for good, after all VMs of a group were lost while the control VMs started anew. Found while the diff was read.

Cause: a new leader keeps an inherited group until it hears of a member. If none ever reports, the group stayed in the log without end and counted as one that serves.

Change: such a group does not count for the balance of the models once the time of a loss has passed, and ends after five minutes. A closing group ends when none of its members is known any more.

--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -128,21 +128,31 @@
     return std::nullopt;
 }
 
+bool isAnyMemberLive(const PlanningStep &step, const FleetGroup &group)
+{
+    return std::any_of(group.members.begin(), group.members.end(),
+                       [&step](const EndpointId &id) { return step.findLive(id); });
+}
+
 // Returns true when members that have not reported yet may count as lost. After a restart of all
 // control VMs, reports need longer than a heartbeat interval, and groups serve meanwhile; a group
 // that entries report as stalled does not.
 bool isGatheringOver(const PlanningStep &step, const FleetGroup &group)
 {
     const GroupPlanner &planner = step.planner;
-    const bool isAnyLive = std::any_of(group.members.begin(), group.members.end(),
-                                       [&step](const EndpointId &id) { return step.findLive(id); });
-    if (!isAnyLive || step.now < planner.gatherReportsUntil)
+    if (!isAnyMemberLive(step, group) || step.now < planner.gatherReportsUntil)
         return false;
     return isStalled(step, group) || step.now >= planner.leadsSince + planner.options.lossTimeout;
 }
 
 } // namespace
 
+bool isUnheard(const PlanningStep &step, const FleetGroup &group)
+{
+    return group.state == GroupState::Inherited && !isAnyMemberLive(step, group)
+           && step.now >= step.planner.leadsSince + step.planner.options.lossTimeout;
+}
+
 bool continueReportedGroup(PlanningStep &step, FleetGroup &group, bool &hasEnded)
 {
     const bool isReported =
@@ -169,6 +179,8 @@
         closeGroup(group, "it is incomplete", CloseMode::AbortRequests, step.now);
         return false;
     }
+    if (isUnheard(step, group))
+        return step.now - group.stateSince > step.planner.options.unknownHeadRetention;
     bool hasEnded = false;
     if (continueReportedGroup(step, group, hasEnded))
         return hasEnded;
--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -44,7 +44,7 @@
         const bool isUnderRepair =
                 step.now - group.stateSince < step.planner.options.expectedRepairTime;
         if (group.service == service && group.model == model.name && !group.isWarmUp
-            && (group.state != GroupState::Closing || isUnderRepair))
+            && (group.state != GroupState::Closing || isUnderRepair) && !isUnheard(step, group))
             vms += model.vmsPerGroup;
     }
     return vms;
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -136,7 +136,10 @@
         const bool mayServe =
                 !group.confirmedMembers.contains(group.members.front())
                 && step.now - group.stateSince <= step.planner.options.unknownHeadRetention;
-        return !known && !mayServe && group.members.size() == 1;
+        const bool isAnyKnown =
+                std::any_of(group.members.begin(), group.members.end(),
+                            [&step](const EndpointId &id) { return findEndpoint(step.table, id); });
+        return !isAnyKnown && !mayServe;
     }
     if (!isMember(*head, group)) {
         queueHeadOrder(step, group, *head, OrderKind::Leave, "its report is older than the group");
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -108,6 +108,9 @@
 // the earlier leader may have opened it.
 void adoptGroups(PlanningStep &step);
 
+// Returns true when no member of an inherited group has been heard for a while.
+bool isUnheard(const PlanningStep &step, const FleetGroup &group);
+
 // Decides whether an inherited group continues. Orders its members to join if they do not report
 // the group, so that what an earlier leader has recorded is completed. Returns true when the group
 // has ended.
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -610,6 +610,24 @@
     checkInvariants(fleet);
 }
 
+// The VMs of a group are lost for good while all control VMs start anew.
+BOOST_AUTO_TEST_CASE(a_group_whose_vms_are_gone_stays_in_the_log)
+{
+    EngineFleet fleet = makeServingFleet(1, 1);
+    const std::string group = fleet.log.byName.begin()->first;
+    for (const auto &[id, startedAtMs] : fleet.log.byName.begin()->second.members)
+        crashEngine(fleet, id);
+    for (SimulatedControlVm &vm : fleet.controlVms)
+        vm.table = EndpointTable{};
+    fleet.reports.clear();
+    changeLeader(fleet);
+    runFleet(fleet, seconds(10));
+    BOOST_CHECK(fleet.log.byName.contains(group));
+    runFleet(fleet, std::chrono::minutes(5));
+    BOOST_CHECK(!fleet.log.byName.contains(group));
+    checkInvariants(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(the_log_assigns_a_vm_to_two_groups)
 {
     const GroupRecord first{"g1", 7, "drafts", "large", "fabric-0", false, {{"a", 1}, {"b", 1}}};
