--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -535,7 +535,7 @@
 }
 
 // The leader is cut off as soon as a group is committed, goes on acting and opens the group. The
-// next leader knows reports of its VMs from before they joined (review/2).
+// next leader knows reports of its VMs from before they joined.
 BOOST_AUTO_TEST_CASE(a_new_leader_uses_vms_whose_group_the_cut_off_leader_has_opened)
 {
     EngineFleet fleet = makeEngineFleet(1, 1);
