test_relay: heads that end early on repeats and resumed streams

The repeat of a lookup and the resumption of a stream now get a head that ends early too: 502, and a stream without its end.

--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -759,6 +759,33 @@
                    Duration(milliseconds(900)).count());
 }
 
+// The repeat of a lookup and the resumption of a stream get a head that ends early.
+BOOST_AUTO_TEST_CASE(head_that_ends_early_after_another_attempt_is_forwarded)
+{
+    const std::string begun = makeStreamHead() + toChunk("id: 1\ndata: a\n\n");
+    for (const std::size_t bytes : {std::size_t{12}, std::size_t{60}, std::size_t{100}}) {
+        RelayFixture lookup;
+        lookup.publish(RouteKind::Idempotent, 2);
+        for (ScriptedEndpoint *endpoint : {&lookup.first, &lookup.second}) {
+            endpoint->responses = {makeSuccess("whole").substr(0, bytes)};
+            endpoint->closesAfterResponse = true;
+        }
+        lookup.exchange(makeRequest(KeyField, "{}"), "HTTP/1.1 502");
+        BOOST_CHECK(contains(lookup.callerInput, "HTTP/1.1 502"));
+        BOOST_CHECK_EQUAL(lookup.second.receivedHeads.size(), 1);
+
+        RelayFixture stream;
+        stream.publish(RouteKind::Stream, 2);
+        stream.first.responses = {begun};
+        stream.second.responses = {makeStreamHead().substr(0, bytes)};
+        stream.first.closesAfterResponse = stream.second.closesAfterResponse = true;
+        stream.exchange(makeRequest(KeyField, "{}"), "");
+        BOOST_CHECK_EQUAL(stream.second.receivedHeads.size(), 1);
+        BOOST_CHECK(contains(stream.callerInput, "id: 1"));
+        BOOST_CHECK(!contains(stream.callerInput, "0\r\n\r\n"));
+    }
+}
+
 // Endpoints that stop while they write their heads, at some bytes of them, with and without a
 // length (issue 39). test_httpmessage has all bytes.
 BOOST_AUTO_TEST_CASE(answer_that_ends_inside_its_head_is_forwarded)
