test_fulldisks: nothing acknowledged is lost, and disks fill again while seats recover

The test checked that changes go on and that each voter leads afterwards. It now also checks that each leader holds the highest version that was acknowledged, and lets every second disk fail again while its seat recovers.

--- a/tests/test_fulldisks.cpp
+++ b/tests/test_fulldisks.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <map>
 #include <random>
 
 #include <sys/resource.h>
@@ -53,6 +54,8 @@
     TimePoint lastAppliedAt{};
     std::uint64_t changes = 0;
     std::uint64_t applied = 0;
+    std::map<std::pair<SeatId, std::uint64_t>, std::uint64_t> proposedVersions; // by proposal
+    std::uint64_t acknowledgedVersion = 0;
     std::mt19937_64 rng;
 };
 
@@ -81,6 +84,9 @@
         if (!result.isApplied)
             continue;
         ++cluster.applied;
+        const auto proposed = cluster.proposedVersions.find({vm.id, result.proposalId});
+        if (proposed != cluster.proposedVersions.end())
+            cluster.acknowledgedVersion = std::max(cluster.acknowledgedVersion, proposed->second);
         cluster.lastAppliedAt = cluster.now;
     }
     send(out.send);
@@ -118,7 +124,9 @@
     Proposal proposal;
     proposal.command = PublishServices{++cluster.changes, std::string(3000, 'x')};
     ControlSeatOutput out;
-    proposeCommand(*leader->seat, proposal, cluster.now, out);
+    const auto id = proposeCommand(*leader->seat, proposal, cluster.now, out);
+    if (id)
+        cluster.proposedVersions[{leader->id, *id}] = cluster.changes;
     process(cluster, *leader, std::move(out));
 }
 
@@ -211,6 +219,9 @@
         ControlVm *leader = findLeader(cluster);
         BOOST_REQUIRE_MESSAGE(leader, context << ": no leader");
         led.insert(leader->id);
+        BOOST_REQUIRE_MESSAGE(leader->seat->control.config.services.version
+                                      >= cluster.acknowledgedVersion,
+                              context << ": an acknowledged change is lost");
         const SeatSet seats = leader->seat->raft.seats;
         const bool haveAllLed = std::all_of(seats.begin(), seats.end(), [&led](const Seat &seat) {
             return !seat.isVoter || led.contains(seat.id);
@@ -351,6 +362,13 @@
                     setFault(vm, &fault);
                     run(cluster, milliseconds(1000 + cluster.rng() % 5000));
                     setFault(vm, nullptr);
+                    // Every second disk fails again while its seat recovers.
+                    if (turn % 4 >= 2) {
+                        run(cluster, milliseconds(cluster.rng() % 900));
+                        setFault(vm, &fault);
+                        run(cluster, milliseconds(1000));
+                        setFault(vm, nullptr);
+                    }
                     run(cluster, milliseconds(cluster.rng() % 2500));
                 }
                 run(cluster, seconds(6));
