test_relay: bookings in each second of a planned stop

Bookings of 3 to 8 s come in each second of a planned stop of 8 s. None that reached the endpoint ends without an answer, and none of these is refused.

--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <limits>
+#include <map>
 
 // Tests the relay between a caller and scripted endpoints over loopback. Most parts send one
 // request.
@@ -759,6 +760,118 @@
                    Duration(milliseconds(900)).count());
 }
 
+namespace {
+
+// Request in a planned stop, and what became of it.
+struct StopRequest
+{
+    std::chrono::milliseconds sentAfter{};
+    std::chrono::milliseconds work{};
+    bool reachedEndpoint = false;
+    std::uint32_t status = 0;
+    bool isAnswered = false;
+};
+
+// Serves requests that name their number and takes as long as the request of this number needs.
+asio::awaitable<void> serveWork(std::vector<StopRequest> &requests, ChannelPointer channel)
+{
+    AsyncCondition signal(channel->executor());
+    channel->setChangeSignal(&signal);
+    HttpParser parser(HttpMessageKind::Request, InputCapacity, InputCapacity);
+    while (parser.consume(channel->input()) && !parser.isDone() && !channel->isEnded()) {
+        channel->resumeReading();
+        co_await signal.wait();
+    }
+    channel->setChangeSignal(nullptr);
+    const std::string *number = findField(parser.head(), "X-Number");
+    if (!parser.isDone() || !number)
+        co_return;
+    StopRequest &request = requests[std::stoul(*number)];
+    request.reachedEndpoint = true;
+    RuntimeTimer timer(channel->executor(), RuntimeClock::now() + request.work);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await channel->write(makeSuccess("done"), RuntimeClock::now() + seconds(1));
+    channel->close();
+}
+
+asio::awaitable<void> sendInStop(RelayFixture &fixture, std::size_t number, StopRequest &request)
+{
+    RuntimeTimer timer(fixture.context, RuntimeClock::now() + request.sentAfter);
+    co_await timer.async_wait(asio::use_awaitable);
+    std::string error;
+    const ChannelPointer channel =
+            co_await connectChannel("127.0.0.1:" + std::to_string(fixture.entryListener->port()),
+                                    seconds(1), InputCapacity, error);
+    AsyncCondition signal(channel->executor());
+    channel->setChangeSignal(&signal);
+    std::string text = makeRequest(KeyField + "X-Number: " + std::to_string(number) + "\r\n", "{}");
+    text.replace(text.find("4000"), 4, "9500");
+    co_await channel->write(text, RuntimeClock::now() + seconds(1));
+    HttpParser parser(HttpMessageKind::Response, InputCapacity, InputCapacity);
+    while (parser.consume(channel->input()) && !parser.isDone() && !channel->isEnded()) {
+        channel->resumeReading();
+        co_await signal.wait();
+    }
+    channel->setChangeSignal(nullptr);
+    request.isAnswered = parser.isDone();
+    request.status = parser.isDone() ? parser.head().status : 0;
+}
+
+} // namespace
+
+// Bookings of 3 to 8 s come in each second of a planned stop of 8 s, at an endpoint whose time is
+// not known or is.
+BOOST_AUTO_TEST_CASE(booking_in_a_planned_stop_is_cut_or_refused_although_it_runs)
+{
+    for (const auto knownTime : {milliseconds(0), milliseconds(3000)}) {
+        RelayFixture fixture;
+        std::vector<StopRequest> requests;
+        for (int second = 0; second < 7; ++second) {
+            for (int work = 3; work <= 8; ++work)
+                requests.push_back({milliseconds(1000 * second + 100), seconds(work)});
+        }
+        ScriptedListener endpoint(fixture.context, [&](ChannelPointer channel) {
+            asio::co_spawn(fixture.context, serveWork(requests, std::move(channel)),
+                           asio::detached);
+        });
+        fixture.first.address = "127.0.0.1:" + std::to_string(endpoint.port());
+        fixture.publish(RouteKind::NonIdempotent, 1);
+        ServiceConfiguration config = *fixture.state.config;
+        config.routes.front().timeout = config.routes.front().targetLatency = seconds(10);
+        indexConfiguration(config);
+        fixture.state.config = std::make_shared<const ServiceConfiguration>(config);
+        fixture.state.placement.table.endpoints.at("e1").report.slots = 100;
+        const TimePoint start = RuntimeClock::now();
+        if (knownTime > milliseconds(0))
+            recordAttempt(fixture.state.placement, "e1", EndpointResult::Served, knownTime, start);
+        fixture.state.stop = StopPlan{start, seconds(8)};
+        for (std::size_t i = 0; i < requests.size(); ++i)
+            asio::co_spawn(fixture.context, sendInStop(fixture, i, requests[i]), asio::detached);
+        fixture.context.run_for(endOfStop(*fixture.state.stop) - start);
+        std::map<std::uint32_t, int> answers;
+        int closedUnread = 0;
+        for (const StopRequest &request : requests) {
+            const std::string context = std::to_string(request.sentAfter.count()) + " ms, work "
+                                        + std::to_string(request.work.count()) + " ms, known "
+                                        + std::to_string(knownTime.count()) + ": "
+                                        + std::to_string(request.status);
+            if (request.reachedEndpoint) {
+                BOOST_CHECK_MESSAGE(request.isAnswered, context);
+                BOOST_CHECK_MESSAGE(request.status == 200 || request.status == 504, context);
+            } else {
+                BOOST_CHECK_MESSAGE(!request.isAnswered || request.status == 503, context);
+            }
+            ++answers[request.status];
+            closedUnread += request.isAnswered ? 0 : 1;
+        }
+        BOOST_TEST_MESSAGE("known " << knownTime.count() << " ms: " << answers[200] << " served, "
+                                    << answers[503] << " refused, " << answers[504] << " ended, "
+                                    << closedUnread << " closed unread");
+        BOOST_CHECK_GT(answers[200], 0);
+        BOOST_CHECK_EQUAL(fixture.state.activeRequests, 0);
+    }
+}
+
 // The repeat of a lookup and the resumption of a stream get a head that ends early.
 BOOST_AUTO_TEST_CASE(head_that_ends_early_after_another_attempt_is_forwarded)
 {
