libfleet, libgateway: the seat of a connected control VM is not replaced while its disk is full

Cause: a seat that was silent for 4 s was removed although its control VM was connected, 0.2 s after its disk had room again in the trace. Until a successor has caught up, the two seats that remain need both their disks, so the next full one left no quorum.

Change: planSeats() gets connected control VMs whose seat can not be used, too. The seat of a connected VM is replaced after 30 s of silence; others after 4 s as before, a lost identity at once.

--- a/src/libfleet/seatplan.cpp
+++ b/src/libfleet/seatplan.cpp
@@ -24,18 +24,24 @@
 bool hasLostIdentity(const Seat &seat, std::span<const SeatCandidate> candidates)
 {
     return std::any_of(candidates.begin(), candidates.end(), [&](const SeatCandidate &candidate) {
-        return candidate.entry == seat.entry && candidate.seat != seat.id;
+        return candidate.entry == seat.entry && candidate.seat != NoSeat
+               && candidate.seat != seat.id;
     });
 }
 
-// Returns true when the seat was silent for longer than the replacement timeout.
+// Returns true when the seat was silent for longer than its replacement timeout.
 bool isSilent(const Seat &seat, std::span<const SeatContact> contacts,
-              const SeatPlanOptions &options, TimePoint now)
+              std::span<const SeatCandidate> connected, const SeatPlanOptions &options,
+              TimePoint now)
 {
+    const bool isConnected =
+            std::any_of(connected.begin(), connected.end(),
+                        [&seat](const SeatCandidate &vm) { return vm.entry == seat.entry; });
+    const Duration timeout = isConnected ? options.replaceConnectedAfter : options.replaceAfter;
     const auto contact =
             std::find_if(contacts.begin(), contacts.end(),
                          [&](const SeatContact &item) { return item.seat == seat.id; });
-    return contact != contacts.end() && now - contact->lastHeard > options.replaceAfter;
+    return contact != contacts.end() && now - contact->lastHeard > timeout;
 }
 
 // Returns a candidate without a seat in the failure domain with the fewest seats, or null.
@@ -51,7 +57,7 @@
     const SeatCandidate *best = nullptr;
     for (const SeatCandidate &candidate : candidates) {
         const bool isBetter =
-                !containsSeat(seats, candidate.seat)
+                candidate.seat != NoSeat && !containsSeat(seats, candidate.seat)
                 && (!best || seatsByDomain[candidate.domain] < seatsByDomain[best->domain]);
         if (isBetter)
             best = &candidate;
@@ -79,7 +85,7 @@
         return grown;
     }
     for (const Seat &seat : current) {
-        if (seat.id != self && isSilent(seat, contacts, options, now))
+        if (seat.id != self && isSilent(seat, contacts, candidates, options, now))
             return removeSeat(current, seat.id);
     }
     return std::nullopt;
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -633,10 +633,9 @@
     candidates.push_back({seat_->id(), internalAddress_, settings_.domain});
     for (const auto &[pointer, link] : acceptedLinks_) {
         const LinkHello &hello = link->peerHello;
-        const bool isEligible = link->hasHello && hello.kind == NodeKind::Control && hello.isReady
-                                && hello.seat != NoSeat;
-        if (isEligible)
-            candidates.push_back({hello.seat, hello.internalAddress, hello.domain});
+        if (link->hasHello && hello.kind == NodeKind::Control)
+            candidates.push_back(
+                    {hello.isReady ? hello.seat : NoSeat, hello.internalAddress, hello.domain});
     }
     SeatPlanOptions options;
     options.seatCount = 2 * settings_.toleratedLosses + 1;
--- a/tests/test_fleetdecisions.cpp
+++ b/tests/test_fleetdecisions.cpp
@@ -555,6 +555,18 @@
     BOOST_CHECK_EQUAL(grown->back().id, 4);
     BOOST_CHECK(!grown->back().isVoter);
 
+    // The control VM of a silent seat is connected, and its disk is full or was full until now.
+    for (const SeatId seat : {NoSeat, SeatId{2}}) {
+        const std::vector<SeatCandidate> connected = {
+                {1, "a:1", "d1"}, {seat, "b:1", "d2"}, {3, "c:1", "d3"}, {4, "e:1", "d2"}};
+        BOOST_CHECK(!planSeats(three, 1, silent, connected, options, later));
+        BOOST_CHECK(planSeats(three, 1, silent, connected, options,
+                              Start + options.replaceConnectedAfter + seconds(1)));
+    }
+    const std::vector<SeatCandidate> unusable = {
+            {1, "a:1", "d1"}, {3, "c:1", "d3"}, {NoSeat, "e:1", "d2"}};
+    BOOST_CHECK(!planSeats(three, 1, silent, unusable, options, later));
+
     // Seats are added up to the configured number, spread over failure domains.
     options.seatCount = 5;
     const std::vector<SeatCandidate> many = {{1, "a:1", "d1"},
--- a/tests/test_fulldisks.cpp
+++ b/tests/test_fulldisks.cpp
@@ -33,6 +33,10 @@
 constexpr auto ChangeInterval = milliseconds(150);
 constexpr auto SeatPlanInterval = milliseconds(400);
 
+// Time within which a change that is sent again and again must be acknowledged, although one disk
+// fails.
+constexpr auto AcknowledgementTime = milliseconds(4000);
+
 struct ControlVm
 {
     std::string entry;
@@ -52,6 +56,7 @@
     TimePoint nextChangeAt{};
     TimePoint nextSeatPlanAt{};
     TimePoint lastAppliedAt{};
+    Duration longestPause{}; // between two applied changes
     std::uint64_t changes = 0;
     std::uint64_t applied = 0;
     std::map<std::pair<SeatId, std::uint64_t>, std::uint64_t> proposedVersions; // by proposal
@@ -87,6 +92,9 @@
         const auto proposed = cluster.proposedVersions.find({vm.id, result.proposalId});
         if (proposed != cluster.proposedVersions.end())
             cluster.acknowledgedVersion = std::max(cluster.acknowledgedVersion, proposed->second);
+        if (cluster.lastAppliedAt != TimePoint{})
+            cluster.longestPause =
+                    std::max(cluster.longestPause, cluster.now - cluster.lastAppliedAt);
         cluster.lastAppliedAt = cluster.now;
     }
     send(out.send);
@@ -137,8 +145,7 @@
         return;
     std::vector<SeatCandidate> candidates;
     for (const ControlVm &vm : cluster.vms) {
-        if (vm.seat)
-            candidates.push_back({vm.id, vm.entry, "domain-" + vm.entry});
+        candidates.push_back({vm.seat ? vm.id : NoSeat, vm.entry, "domain-" + vm.entry});
     }
     std::vector<SeatContact> contacts;
     for (const auto &[id, progress] : leader->seat->raft.followers)
@@ -345,6 +352,7 @@
 // Long after the last disk has room again, changes stay unanswered or a seat can not lead.
 BOOST_AUTO_TEST_CASE(disks_that_were_full_one_after_another_stop_changes)
 {
+    Duration longestPause{};
     for (const std::size_t vms : {std::size_t{3}, std::size_t{5}}) {
         for (std::uint64_t seed = 1; seed <= 12; ++seed) {
             for (const DiskFault &fault : DiskFaults) {
@@ -372,6 +380,10 @@
                     run(cluster, milliseconds(cluster.rng() % 2500));
                 }
                 run(cluster, seconds(6));
+                longestPause = std::max(longestPause, cluster.longestPause);
+                BOOST_CHECK_MESSAGE(cluster.longestPause <= AcknowledgementTime,
+                                    context << ": no change was applied for "
+                                            << cluster.longestPause / milliseconds(1) << " ms");
                 const std::uint64_t applied = cluster.applied;
                 run(cluster, seconds(3));
                 BOOST_REQUIRE_MESSAGE(cluster.applied > applied + 15,
@@ -380,6 +392,8 @@
             }
         }
     }
+    BOOST_TEST_MESSAGE("longest time without a change: " << longestPause / milliseconds(1)
+                                                         << " ms");
 }
 
 } // namespace Trefoil
