libcoord: of two seats that ask for pre-votes at the same time one gives way

Cause: seats whose election timeouts end within the time of a message both win their pre-vote and then vote for themselves.

Change: a seat that asks for pre-votes and grants one to a seat with a higher id gives up its own, so that only one election starts. Pre-votes promise nothing, so safety is untouched.

--- a/src/libcoord/raft.cpp
+++ b/src/libcoord/raft.cpp
@@ -140,6 +140,12 @@
     reply.granted = granted;
     if (granted && isPreVote)
         reply.term = request.term;
+    // Of two seats that ask for pre-votes at the same time, one gives way, since their elections
+    // would split the votes.
+    if (granted && raft.role == RaftRole::PreCandidate && request.from > raft.self) {
+        raft.role = RaftRole::Follower;
+        resetElectionTimer(raft, now);
+    }
     if (granted && !isPreVote) {
         if (raft.hardState.votedFor != request.from) {
             raft.hardState.votedFor = request.from;
