libgateway: a begun stream is not cut for the silence of its endpoint unless another one takes it

Cause: a stall ended the attempt before it was known whether another endpoint, the budget or a planned stop allow the next one.

Change: the attempt ends only when the stream can move at that moment; else it stays, and the endpoint is avoided and reported to the leader once, after 1.5 s as before.

Test: stream_that_can_not_move_is_cut_for_its_silence fails before with one endpoint (cut after 1,500 ms) and with two and no budget (after 500 ms), passes now. All of test_relay passes.

--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -3,6 +3,7 @@
 #include "libgateway/engineends.h"
 #include "libgateway/entryconnections.h"
 #include "libgateway/entryquarantine.h"
+#include "libgateway/entrystalls.h"
 #include "libgateway/entrystop.h"
 #include "libgateway/responserelay.h"
 #include "libruntime/clock.h"
@@ -74,13 +75,6 @@
     return false;
 }
 
-// Reports to the leader that the endpoint is stalled.
-void reportStall(RelayContext &context, const EndpointId &endpoint, TimePoint now)
-{
-    context.state.stalledAt[endpoint] = now;
-    context.state.sendStallReport();
-}
-
 void recordAttemptOutcome(RelayContext &context, const RelayRequest &request,
                           RelayProgress &progress, const Placement &placement)
 {
@@ -91,11 +85,7 @@
                       now - request.arrivedAt, now);
         return;
     case AttemptOutcome::EndpointStalled:
-        ejectEndpoint(context.state.placement, placement.endpoint, now);
-        reportStall(context, placement.endpoint, now);
-        logEvent(Event::EndpointEjected, {{"endpoint", placement.endpoint},
-                                          {"id", request.id},
-                                          {"reason", progress.lastReason}});
+        reportStall(context.state, placement.endpoint, request.id, progress.lastReason, now);
         break;
     case AttemptOutcome::Failed:
     case AttemptOutcome::RequestStalled:
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -2,6 +2,7 @@
 
 #include "libgateway/entryanswers.h"
 #include "libgateway/entryquarantine.h"
+#include "libgateway/entrystalls.h"
 #include "libgateway/entrystop.h"
 #include "libruntime/clock.h"
 
@@ -243,6 +244,7 @@
     std::optional<TimePoint> overdueSince;
     std::uint32_t unrelatedResponses = 0;
     bool isHeadRecorded = false;
+    bool isStallReported = false;
     HttpParser parser = makeResponseParser(request);
     while (true) {
         const bool isParsed = parser.consume(endpoint.input());
@@ -313,14 +315,18 @@
         else if (!overdueSince)
             overdueSince = now;
         else if (now >= *overdueSince + StallConfirmationDelay) {
-            // Until requestStalledAt, a stalled stream is moved only if another endpoint can
-            // take it.
-            const bool mustMove =
-                    now >= stall.requestStalledAt
-                    || hasUntriedEndpoint(context.state.placement,
-                                          makePlacementRequest(request, progress, now), now);
-            if (mustMove)
+            // A stream that has begun stays at its endpoint if no other one can take it. One that
+            // has not is given up, so that its caller can try elsewhere.
+            const bool isOverdue = now >= stall.requestStalledAt;
+            const bool mustEnd = isOverdue && !progress.hasBegun;
+            if (mustEnd
+                || canMove(context.state, makePlacementRequest(request, progress, now), now))
                 co_return recordStall(progress, now >= stall.endpointStalledAt);
+            if (isOverdue && now >= stall.endpointStalledAt && !isStallReported) {
+                isStallReported = true;
+                reportStall(context.state, placement.endpoint, request.id, "no event for too long",
+                            now);
+            }
             overdueSince = now;
         }
         co_await context.signal.wait(std::min(
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -872,6 +872,27 @@
     }
 }
 
+// A sound endpoint sends nothing for 2.2 s in the middle of a stream. It can not be resumed
+// elsewhere, because the retry budget is used up or there is no other endpoint.
+BOOST_AUTO_TEST_CASE(stream_that_can_not_move_is_cut_for_its_silence)
+{
+    for (const std::size_t endpoints : {std::size_t{1}, std::size_t{2}}) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Stream, endpoints);
+        retryBudget(fixture.state, "desk").tokens = 0;
+        retryBudget(fixture.state, "desk").options.allowance = 0;
+        fixture.first.responses = {makeStreamHead() + toChunk("id: 1\ndata: a\n\n")};
+        fixture.first.repeatedPiece = toChunk("id: 2\ndata: a\n\n") + "0\r\n\r\n";
+        fixture.first.pieceDelay = milliseconds(2200);
+        fixture.first.maxPieces = 1;
+        fixture.exchange(makeRequest(KeyField, "{}"), "0\r\n\r\n");
+        BOOST_CHECK_MESSAGE(contains(fixture.callerInput, "id: 2"),
+                            endpoints << " endpoints: " << fixture.callerInput);
+        BOOST_CHECK(contains(fixture.callerInput, "0\r\n\r\n"));
+        BOOST_CHECK(fixture.second.receivedHeads.empty());
+    }
+}
+
 // The repeat of a lookup and the resumption of a stream get a head that ends early.
 BOOST_AUTO_TEST_CASE(head_that_ends_early_after_another_attempt_is_forwarded)
 {
