review: a worker of the stand-ins refuses connections as soon as it has crashed

Cause: the stand-in ended the open connections of a crashed worker some milliseconds before its listener, which the end of a process does not do. An entry that probed in between took the worker for alive. Change: the listener ends first.

--- a/review/common-2/engines.h
+++ b/review/common-2/engines.h
@@ -84,6 +84,7 @@
 
     // While it is down, nothing listens at its address. It comes back as another lifetime.
     std::atomic<bool> isDown{false};
+    std::atomic<int> listener{-1};
     std::set<int> descriptors;
     std::size_t lives = 1;
 };
@@ -310,19 +311,17 @@
 
 inline void listenForRequests(Engine &engine)
 {
-    const int first = listenOn(engine.address);
-    std::thread([&engine, listener = first]() mutable {
+    engine.listener = listenOn(engine.address);
+    std::thread([&engine] {
         while (!engine.all.isOver) {
-            if (engine.isDown && listener >= 0) {
-                ::close(listener);
-                listener = -1;
-            } else if (!engine.isDown && listener < 0) {
-                listener = listenOn(engine.address);
-            }
-            pollfd item{listener, POLLIN, 0};
-            if (poll(&item, listener < 0 ? 0 : 1, 2) <= 0)
+            if (engine.isDown && engine.listener >= 0)
+                ::close(engine.listener.exchange(-1));
+            else if (!engine.isDown && engine.listener < 0)
+                engine.listener = listenOn(engine.address);
+            pollfd item{engine.listener, POLLIN, 0};
+            if (poll(&item, engine.listener < 0 ? 0 : 1, 2) <= 0)
                 continue;
-            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+            const int fd = ::accept4(engine.listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 continue;
             const std::lock_guard lock(engine.all.mutex);
@@ -336,7 +335,7 @@
     }).detach();
 }
 
-// Ends a worker at once. It is back after some seconds with another id; its host keeps what is staged.
+// Ends a worker at once, like the end of its process. It is back after some seconds with another id; its host keeps what is staged.
 inline void crash(Engine &engine, long downMs)
 {
     {
@@ -344,6 +343,8 @@
         if (engine.isDown.exchange(true))
             return;
         record.line("worker %s: crashes", engine.id.c_str());
+        // New connections are refused from the moment at which the open ones end.
+        ::shutdown(engine.listener, SHUT_RDWR);
         for (const int fd : engine.descriptors)
             ::shutdown(fd, SHUT_RDWR);
         engine.membership.reset();
