review: two changes of the leader and a worker that starts again under its id break TWO

Cause: a leader takes a report that is older than a join which the worker has accepted as proof that the worker is out of its group, and commits that; the next leader joins the worker elsewhere at once. The cases are put into the order of their gravity.

--- a/review/9/departed.cpp
+++ b/review/10/departed.cpp
@@ -1,4 +1,4 @@
-// Case 9: a worker of a plain service starts again under its id, and the first liveness report of its new life
+// Case 10: a worker of a plain service starts again under its id, and the first liveness report of its new life
 // arrives late. Before that the worker says that it leaves, which is acknowledged. Counts the requests that still
 // reach it later than drain-timeout-ms after the acknowledgement.
 
--- a/review/7/moved.cpp
+++ b/review/9/moved.cpp
@@ -1,4 +1,4 @@
-// Case 7: an entry reads its settings again. A stream that a worker has preempted is taken from this worker,
+// Case 9: an entry reads its settings again. A stream that a worker has preempted is taken from this worker,
 // the only other group is full, and the entry closes the connection of its consumer.
 
 #include "operator.h"
@@ -12,10 +12,11 @@
 constexpr int Events = 60;
 constexpr long EventMs = 100;
 
-// The newest stream, which a worker without memory preempts.
-const std::string NewestId = "stream-" + std::to_string(2 * Slots - 1) + "-";
+// The stream that a worker without memory preempts: the newest one that runs there.
+std::mutex newestMutex;
+std::map<std::string, std::string> newestByWorker;
+std::string preemptedId;
 
-std::atomic<bool> preempts{false};
 std::atomic<bool> wasPreempted{false};
 std::atomic<long> pausedAt{-1};
 std::atomic<bool> wasClosedInPause{false};
@@ -25,17 +26,28 @@
 {
     const std::string id = request.field("X-Trefoilrun-Attempt-Id");
     const std::string last = request.field("Last-Event-Id");
+    const bool isEarly = id.starts_with("early-");
+    const int events = isEarly ? 4 : Events;
+    const long eventMs = isEarly ? 30 : EventMs;
     record.line("worker %s: runs %s%s%s", engine.id.c_str(), id.c_str(), last.empty() ? "" : " after event ",
                 last.c_str());
+    if (!isEarly) {
+        const std::lock_guard lock(newestMutex);
+        newestByWorker[engine.id] = id;
+    }
     sleepMs(engine.all.options.firstEventMs);
     bool isOpen = connection.write(streamHead(request));
-    for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; isOpen && event <= Events; ++event) {
-        const bool pauses = event >= 8 && preempts && id.starts_with(NewestId) && !wasPreempted.exchange(true);
+    for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; isOpen && event <= events; ++event) {
+        bool pauses = false;
+        {
+            const std::lock_guard lock(newestMutex);
+            pauses = event >= 8 && id == preemptedId && !wasPreempted.exchange(true);
+        }
         if (pauses) {
             record.line("worker %s: preempts %s after event %d", engine.id.c_str(), id.c_str(), event - 1);
             pausedAt = nowMs();
         }
-        const long until = nowMs() + (pauses ? PauseMs : EventMs);
+        const long until = nowMs() + (pauses ? PauseMs : eventMs);
         while (nowMs() < until) {
             sleepMs(5);
             if (connection.isClosedByPeer()) {
@@ -80,6 +92,19 @@
     waitForGroups(engines, 2);
     sleepMs(4000); // longer than the connectivity window, without a disruption
 
+    // Earlier requests, which give the entry a budget for repeats.
+    std::vector<std::thread> earlier;
+    for (int number = 0; number < 4; ++number) {
+        earlier.emplace_back([&, number] {
+            const auto connection = connectTo(entry);
+            for (int i = 0; connection && i < 10; ++i)
+                readStream(*connection,
+                           streamRequest("early-" + std::to_string(10 * number + i), 10000, 1420, 20), 11000);
+        });
+    }
+    for (std::thread &thread : earlier)
+        thread.join();
+
     // As many streams as both groups have places, each on a kept connection.
     std::vector<std::thread> consumers;
     std::map<std::string, StreamResult> results;
@@ -108,7 +133,14 @@
     const long reloadedAt = nowMs();
     record.line("platform: SIGHUP to the entry");
     ::kill(entryPid, SIGHUP);
-    preempts = hasTrouble();
+    if (hasTrouble()) {
+        const std::scoped_lock lock(newestMutex, engines.mutex);
+        for (const auto &[worker, id] : newestByWorker) {
+            // A stream that a full worker has refused has no attempt left, so it can't be moved.
+            if (!engines.refused.contains(id))
+                preemptedId = id;
+        }
+    }
     for (std::thread &consumer : consumers)
         consumer.join();
     if (hasTrouble() && pausedAt < 0)
--- a/review/common-2/engines.h
+++ b/review/common-2/engines.h
@@ -49,6 +49,16 @@
     // Runs a request that has a slot. Returns whether the connection stays open.
     std::function<bool(Engine &, Connection &, const Message &)> run;
 
+    // Set by cases that need orders to be lost or late. Handles an order and returns its answer, 0 for none, or
+    // nothing to have it handled as usual.
+    std::function<std::optional<int>(Engine &, const json::object &)> handleOrder;
+
+    // Set by cases with late reports. Returns whether it sends the report itself.
+    std::function<bool(Engine &, const std::string &id, const std::string &text)> sendsReport;
+
+    // Ids of requests that a full worker has refused.
+    std::set<std::string> refused;
+
     // Joins of a worker whose group may still serve.
     std::vector<std::string> brokenJoins;
     std::atomic<bool> isOver{false};
@@ -255,8 +265,17 @@
     if (request.path() == "/trefoilrun/order") {
         json::error_code error;
         const json::value order = json::parse(request.body, error);
-        const int status = error || !order.is_object() ? 400 : executeOrder(all, engine, order.get_object());
+        std::optional<int> handled;
+        if (!error && order.is_object() && all.handleOrder)
+            handled = all.handleOrder(engine, order.get_object());
+        const int status = handled                       ? *handled
+                           : error || !order.is_object() ? 400
+                                                         : executeOrder(all, engine, order.get_object());
         record.line("order to %s: %s -> %d", engine.id.c_str(), request.body.c_str(), status);
+        if (status == 0) {
+            sleepMs(1500); // longer than any sender of orders waits
+            return false;
+        }
         return connection.write(answerText(status, request, ""));
     }
     {
@@ -270,6 +289,7 @@
             return connection.write(answerText(421, request, "X-Trefoilrun-Not-Executed: 1\r\n"));
         }
         if (engine.running >= all.options.slots && engine.waiting >= all.options.queue) {
+            all.refused.insert(request.field("X-Trefoilrun-Attempt-Id"));
             lock.unlock();
             record.line("worker %s: %s gets 503, it is full", engine.id.c_str(),
                         request.field("X-Trefoilrun-Attempt-Id").c_str());
@@ -335,8 +355,9 @@
     }).detach();
 }
 
-// Ends a worker at once, like the end of its process. It is back after some seconds with another id; its host keeps what is staged.
-inline void crash(Engine &engine, long downMs)
+// Ends a worker at once, like the end of its process. It is back after some time, with another id or the
+// same; its host keeps what is staged.
+inline void crash(Engine &engine, long downMs, bool keepsId = false)
 {
     {
         const std::lock_guard lock(engine.all.mutex);
@@ -349,14 +370,16 @@
             ::shutdown(fd, SHUT_RDWR);
         engine.membership.reset();
     }
-    std::thread([&engine, downMs] {
+    std::thread([&engine, downMs, keepsId] {
         sleepMs(downMs);
         const std::lock_guard lock(engine.all.mutex);
         Engines &all = engine.all;
-        auto item = all.byId.extract(engine.id);
-        engine.id = engine.id.substr(0, engine.id.find('-', 2)) + "-" + std::to_string(++engine.lives);
-        item.key() = engine.id;
-        all.byId.insert(std::move(item));
+        if (!keepsId) {
+            auto item = all.byId.extract(engine.id);
+            engine.id = engine.id.substr(0, engine.id.find('-', 2)) + "-" + std::to_string(++engine.lives);
+            item.key() = engine.id;
+            all.byId.insert(std::move(item));
+        }
         engine.born = unixMs();
         engine.sequence = 0;
         engine.highestEpoch = engine.highestFence = 0;
@@ -410,6 +433,16 @@
         if (engine.isDown || (nowMs() < nextAt && !engine.hasChanged.exchange(false)))
             continue;
         nextAt = nowMs() + all.options.heartbeatMs;
+        if (all.sendsReport) {
+            const std::string text = heartbeatText(engine);
+            std::string id;
+            {
+                const std::lock_guard lock(all.mutex);
+                id = engine.id;
+            }
+            if (all.sendsReport(engine, id, text))
+                continue;
+        }
         for (std::size_t attempt = 0; attempt < all.options.controls.size() + 1; ++attempt) {
             const std::string target = engine.reportTo.empty()
                                                ? all.options.controls[next % all.options.controls.size()]
