--- a/review/8/leaders.cpp
+++ b/review/8/leaders.cpp
@@ -12,7 +12,7 @@
 
 constexpr long DownMs = 400;
 constexpr long ReportDelayMs = 3500; // "a liveness report may arrive seconds late"
-constexpr long OrderMs = 20;         // that a head needs to carry out an order
+constexpr long OrderMs = 5; // that a head needs to carry out an order
 
 struct Control
 {
