review: cases 8 to 10 record each request

Cause: their records left out what was sent, answered and run beside the broken rule. Change: a line for each; the look-ups of case 10 take 60 ms and are fewer.

--- a/review/10/departed.cpp
+++ b/review/10/departed.cpp
@@ -12,6 +12,8 @@
 constexpr long ReportDelayMs = 2500; // "a liveness report may arrive seconds late"
 constexpr long LeavesAfterMs = 600;
 constexpr int Consumers = 40;
+constexpr long WorkMs = 60;
+constexpr long PauseMs = 200;
 constexpr long ServesMs = 6000; // "and a little longer (at times many seconds)"
 
 struct PlainWorker
@@ -87,7 +89,8 @@
             }
         }
         ++worker.served;
-        sleepMs(15);
+        record.line("worker %s: runs %s", worker.id.c_str(), id.c_str());
+        sleepMs(WorkMs);
         if (!connection.write(answerText(200, request, "X-Trefoilrun-Response-Seal: 3e1b.07\r\n", "found")))
             break;
     }
@@ -151,7 +154,7 @@
     }).detach();
     const std::string route =
             R"({"name":"tray-lookup","host":"ficu95.example","path-prefix":"/cufi504/","kind":"idempotent",)"
-            R"("timeout-ms":800,"target-latency-ms":100,"priority":2,"service":"tray-api","attempts":2,)"
+            R"("timeout-ms":800,"target-latency-ms":300,"priority":2,"service":"tray-api","attempts":2,)"
             R"("public":false})";
     publish(controls, configuration(1, route, plainService()), "version 1");
     sleepMs(4500); // longer than the connectivity window, without a disruption
@@ -181,10 +184,12 @@
                 {
                     const std::lock_guard lock(lateMutex);
                     ++statuses[isAnswered ? answer.status() : 0];
+                    record.line("consumer: %s, sent at %.3f -> status %d", id.c_str(),
+                                static_cast<double>(sentAt[id]) / 1000, isAnswered ? answer.status() : 0);
                 }
                 if (!isAnswered)
                     connection.reset();
-                sleepMs(60);
+                sleepMs(PauseMs);
             }
         });
     }
--- a/review/8/leaders.cpp
+++ b/review/8/leaders.cpp
@@ -158,6 +158,7 @@
         return true;
     };
     engines.run = [](Engine &engine, Connection &connection, const Message &request) {
+        record.line("worker %s: runs %s", engine.id.c_str(), request.field("X-Trefoilrun-Attempt-Id").c_str());
         sleepMs(engine.all.options.firstEventMs);
         bool isOpen = connection.write(streamHead(request));
         for (int event = 1; isOpen && event <= 12; ++event) {
@@ -179,8 +180,9 @@
     std::thread consumer([&] {
         for (int i = 0; !isOver; ++i) {
             const auto connection = connectTo(entry);
+            const std::string id = "stream-" + std::to_string(i);
             if (connection)
-                readStream(*connection, streamRequest("stream-" + std::to_string(i), 6000, 674, 60), 7000);
+                recordStream(id, readStream(*connection, streamRequest(id, 6000, 674, 60), 7000));
             sleepMs(50);
         }
     });
--- a/review/9/moved.cpp
+++ b/review/9/moved.cpp
@@ -97,9 +97,10 @@
     for (int number = 0; number < 4; ++number) {
         earlier.emplace_back([&, number] {
             const auto connection = connectTo(entry);
-            for (int i = 0; connection && i < 10; ++i)
-                readStream(*connection,
-                           streamRequest("early-" + std::to_string(10 * number + i), 10000, 1420, 20), 11000);
+            for (int i = 0; connection && i < 10; ++i) {
+                const std::string id = "early-" + std::to_string(10 * number + i);
+                recordStream(id, readStream(*connection, streamRequest(id, 10000, 1420, 20), 11000));
+            }
         });
     }
     for (std::thread &thread : earlier)
