libgateway: setting for the memory of the VM

Bounds for the sum of what a process keeps in memory need the memory of its machine. The platform names it; the settings had no place for it. Nothing uses it yet, so the tests of the bounds that follow can be run on this code and fail.

--- a/src/libgateway/gatewaysettings.h
+++ b/src/libgateway/gatewaysettings.h
@@ -39,6 +39,9 @@
 
     std::size_t maxConnections = 4096;
 
+    // Memory of the VM that this process may use, in MB.
+    std::size_t memoryMb = 256;
+
     // Interval of the heartbeats that endpoints send.
     Duration heartbeatInterval = std::chrono::seconds(1);
 
