--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -13,6 +13,7 @@
 #include "libfleet/groupplanner.h"
 #include "libfleet/grouprecord.h"
 #include "libfleet/holdoffs.h"
+#include "libfleet/memorybudget.h"
 #include "libfleet/partquarantine.h"
 #include "libfleet/placement.h"
 #include "libfleet/promptparts.h"
