--- a/src/libgateway/controllinks.cpp
+++ b/src/libgateway/controllinks.cpp
@@ -23,12 +23,13 @@
 
 ControlLinks::ControlLinks(asio::io_context &context, std::string ownAddress,
                            std::size_t inputCapacity, HelloFactory makeHello,
-                           MessageHandler onMessage)
+                           MessageHandler onMessage, ChannelLimits limits)
     : context_(context)
     , ownAddress_(std::move(ownAddress))
     , inputCapacity_(inputCapacity)
     , makeHello_(std::move(makeHello))
     , onMessage_(std::move(onMessage))
+    , limits_(std::move(limits))
 {}
 
 void ControlLinks::setSeeds(std::span<const std::string> addresses)
@@ -81,8 +82,9 @@
 asio::awaitable<void> ControlLinks::connectPeer(std::string address)
 {
     std::string error;
-    ChannelPointer channel =
-            co_await connectChannel(address, ConnectTimeout, inputCapacity_, error);
+    ChannelLimits limits = limits_;
+    ChannelPointer channel = co_await connectChannel(address, ConnectTimeout, inputCapacity_, error,
+                                                     std::move(limits));
     Peer *peer = findPeer(address);
     if (!peer)
         co_return;
@@ -90,6 +92,7 @@
     peer->retryAt = RuntimeClock::now() + ConnectRetryDelay;
     if (!channel)
         co_return;
+    channel->protect();
     peer->link = std::make_shared<Link>(
             std::move(channel), LinkTimeout,
             [this, address](Link &link, LinkMessage &&message) {
--- a/src/libgateway/controllinks.h
+++ b/src/libgateway/controllinks.h
@@ -46,7 +46,8 @@
 
     // Each link buffers up to `inputCapacity` bytes of input.
     ControlLinks(boost::asio::io_context &context, std::string ownAddress,
-                 std::size_t inputCapacity, HelloFactory makeHello, MessageHandler onMessage);
+                 std::size_t inputCapacity, HelloFactory makeHello, MessageHandler onMessage,
+                 ChannelLimits limits);
 
     // Sets a function that is called with each new link.
     void setConnectHandler(std::function<void(Link &)> onConnected);
@@ -76,6 +77,7 @@
     std::size_t inputCapacity_;
     HelloFactory makeHello_;
     MessageHandler onMessage_;
+    ChannelLimits limits_;
     std::function<void(Link &)> onConnected_;
     std::map<std::string, Peer> peers_; // By address.
 };
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -36,11 +36,15 @@
 constexpr auto MinSeatChangeInterval = std::chrono::milliseconds(400);
 constexpr std::size_t LinkInputCapacity = 1024 * 1024;
 
+// Size of the first message of a node, which says who it is.
+constexpr std::size_t FirstMessageCapacity = 256 * 1024;
+
 // Up to this number, all endpoints send their heartbeats to the leader. With more, the heartbeats
 // stay spread over the control VMs.
 constexpr std::size_t MaxEndpointsReportingToLeader = 400;
 
 constexpr std::size_t MaxListedEntries = 64;
+constexpr std::size_t MaxConfigurationBytes = 8 * 1024 * 1024;
 
 KnownNode toKnownNode(const LinkHello &hello)
 {
@@ -63,14 +67,16 @@
     , dialect_(*findDialect(settings_.dialect))
     , internalAddress_(linkAddress(settings_))
     , processStartMs_(wallTimeMs())
+    , ledger_(makeMemoryLedger(settings_))
     , tickTimer_(context)
     , controlLinks_(
               context, internalAddress_, LinkInputCapacity, [this] { return makeHello(); },
               [this](const std::string & /*address*/, Link &link, LinkMessage &&message) {
                   handleLinkMessage(link, std::move(message));
-              })
+              },
+              linkLimits(ledger_))
     , reports_(context, dialect_, makeReportHandlers())
-    , groups_(context, dialect_, reports_, makeGroupHandlers())
+    , groups_(context, dialect_, reports_, makeGroupHandlers(), {ledger_})
     , rng_(std::random_device{}())
 {}
 
@@ -114,20 +120,30 @@
     };
     seat_ = std::make_unique<ControlSeatKeeper>(context_, settings_, std::move(handlers));
     linkListener_ = std::make_unique<ChannelListener>(
-            context_, internalAddress_, LinkInputCapacity,
-            [this](ChannelPointer channel) { acceptLink(std::move(channel)); });
-    const auto serve = [this](const std::string &address, auto handler) {
-        return serveHttp(context_, address, [this, handler](ServerRequest request) {
-            return (this->*handler)(std::move(request));
-        });
+            context_, internalAddress_, FirstMessageCapacity,
+            [this](ChannelPointer channel) { acceptLink(std::move(channel)); },
+            linkLimits(ledger_));
+    const auto serve = [this](const std::string &address, auto handler, ServerLimits limits) {
+        return serveHttp(
+                context_, address,
+                [this, handler](ServerRequest request) {
+                    return (this->*handler)(std::move(request));
+                },
+                {ledger_}, std::move(limits));
+    };
+    ServerLimits controlLimits;
+    controlLimits.maxBodyBytesOf = [this](const HttpHead &head) {
+        const SystemCall call = dialect_.parseCall(head.method, head.target);
+        return call.kind == CallKind::PublishConfiguration ? MaxConfigurationBytes : 0;
     };
-    controlListener_ = serve(settings_.controlListenAddress, &ControlProcess::handleControlRequest);
+    controlListener_ = serve(settings_.controlListenAddress, &ControlProcess::handleControlRequest,
+                             controlLimits);
     if (!settings_.entryListListenAddress.empty())
-        entryListListener_ =
-                serve(settings_.entryListListenAddress, &ControlProcess::handleEntryListRequest);
+        entryListListener_ = serve(settings_.entryListListenAddress,
+                                   &ControlProcess::handleEntryListRequest, ServerLimits{});
     if (!settings_.metricsListenAddress.empty())
-        metricsListener_ =
-                serve(settings_.metricsListenAddress, &ControlProcess::handleMetricsRequest);
+        metricsListener_ = serve(settings_.metricsListenAddress,
+                                 &ControlProcess::handleMetricsRequest, ServerLimits{});
     startedAt_ = RuntimeClock::now();
     reload(settings_);
     tickTimer_.expires_at(startedAt_);
@@ -185,16 +201,24 @@
             [this](Link &ended, const std::string &reason) { handleLinkEnd(ended, reason); });
     acceptedLinks_[link.get()] = link;
     link->start();
-    link->send(makeTopology());
-    link->send(reports_.makeFullUpdate());
-    link->send(ConfigurationOffer{seat_->services().version});
+}
+
+// Tells a node that has connected what this control VM knows.
+void ControlProcess::greet(Link &link)
+{
+    link.protect(LinkInputCapacity);
+    link.send(makeTopology());
+    link.send(reports_.makeFullUpdate());
 }
 
 void ControlProcess::handleLinkMessage(Link &link, LinkMessage &&message)
 {
+    if (!link.hasHello && !std::holds_alternative<LinkHello>(message))
+        return;
     if (auto *hello = std::get_if<LinkHello>(&message)) {
         link.peerHello = std::move(*hello);
-        link.hasHello = true;
+        if (!std::exchange(link.hasHello, true))
+            greet(link);
         hasSeenRequests_ = hasSeenRequests_ || link.peerHello.requestCount > 0;
         applyEntryHello(link.peerHello);
         if (link.peerHello.kind == NodeKind::Control) {
@@ -314,8 +338,10 @@
 {
     const auto links = acceptedLinks_; // A link that fails removes itself from the map.
     const std::string frame = encodeLinkFrame(message);
-    for (const auto &[pointer, link] : links)
-        link->sendFrame(frame);
+    for (const auto &[pointer, link] : links) {
+        if (link->hasHello)
+            link->sendFrame(frame);
+    }
 }
 
 void ControlProcess::sendRaftMessage(RaftMessage message)
@@ -540,6 +566,11 @@
     gauge("is_leader", seat_->isActingLeader() ? 1 : 0);
     gauge("term", static_cast<double>(seat_->term()));
     gauge("seats", static_cast<double>(seat_->seats().size()));
+    gauge("buffer_bytes", static_cast<double>(ledger_->budget().usedBytes));
+    gauge("buffer_bytes_limit", static_cast<double>(ledger_->budget().maxBytes));
+    gauge("memory_evictions_total", static_cast<double>(ledger_->evictedCount()));
+    gauge("memory_refusals_total", static_cast<double>(ledger_->refusedCount()));
+    gauge("connections_refused_total", static_cast<double>(ledger_->refusedConnectionCount()));
     gauge("links_accepted", static_cast<double>(acceptedLinks_.size()));
     gauge("endpoints_known", static_cast<double>(reports_.table().endpoints.size()));
     gauge("endpoints_unconfigured", static_cast<double>(reports_.table().unconfigured.size()));
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -40,6 +40,7 @@
 
     // Links to entries and other control VMs.
     void acceptLink(ChannelPointer channel);
+    void greet(Link &link);
     void handleLinkMessage(Link &link, LinkMessage &&message);
     void applyEntryHello(const LinkHello &hello);
 
@@ -83,6 +84,10 @@
     const Dialect &dialect_;
     std::string internalAddress_;
     std::uint64_t processStartMs_;
+
+    // Counts the memory of all connections.
+    std::shared_ptr<MemoryLedger> ledger_;
+
     std::unique_ptr<ControlSeatKeeper> seat_;
     std::unique_ptr<ChannelListener> linkListener_;
     std::unique_ptr<ChannelListener> controlListener_;
--- a/src/libgateway/endpointpool.cpp
+++ b/src/libgateway/endpointpool.cpp
@@ -19,9 +19,16 @@
 // reach the endpoint.
 constexpr auto KeepAliveMargin = std::chrono::milliseconds(400);
 
-constexpr std::size_t ResponseInputCapacity = 256 * 1024;
-constexpr std::size_t RequestInputCapacity = 1024 * 1024;
-constexpr std::size_t MaxResponseHeaderBytes = 64 * 1024;
+constexpr std::size_t ResponseInputCapacity = 32 * 1024;
+constexpr std::size_t RequestInputCapacity = 32 * 1024;
+constexpr std::size_t MaxResponseHeaderBytes = 16 * 1024;
+
+// Limit of bodies of all requests, whatever their heads are.
+constexpr std::size_t MaxRequestBodyBytes = 8 * 1024 * 1024;
+
+// Bodies that are larger are received through larger buffers of the kernel.
+constexpr std::size_t LargeBodyBytes = 64 * 1024;
+
 constexpr std::size_t MaxIdlePerEndpoint = 64;
 
 // A connection with this many refusals is closed.
@@ -68,34 +75,85 @@
     }
 }
 
-// Reads one request. Returns true when the request is complete or cannot be parsed, and false when
-// the connection ended or timed out.
-asio::awaitable<bool> readRequest(Channel &channel, AsyncCondition &signal, HttpParser &parser,
-                                  const ServerLimits &limits)
+// Returns the limit of the body of the request that arrives.
+std::size_t bodyLimit(const HttpParser &parser, const ServerLimits &limits)
+{
+    const std::size_t ofHead = limits.maxBodyBytesOf ? limits.maxBodyBytesOf(parser.head()) : 0;
+    return std::max(limits.maxBodyBytes, ofHead);
+}
+
+// Returns the status with which the request that arrives is refused, 0 for none.
+std::uint32_t refusalStatus(const HttpParser &parser, const ServerLimits &limits)
 {
+    if (parser.error() != HttpParseError::None)
+        return errorStatus(parser.error());
+    if (!parser.isHeadDone())
+        return 0;
+    const std::uint64_t bodyBytes =
+            std::max<std::uint64_t>(parser.announcedBodyBytes(), parser.untakenBodyBytes());
+    return bodyBytes > bodyLimit(parser, limits) ? 413 : 0;
+}
+
+struct ReceivedRequest
+{
+    // False when the connection ended or timed out.
+    bool isComplete = false;
+
+    // Status with which the request is refused unread, 0 for none.
+    std::uint32_t refusal = 0;
+
+    bool keepsAlive = false;
+    ServerRequest request;
+    std::size_t memoryBytes = 0;
+};
+
+asio::awaitable<ReceivedRequest> receiveRequest(Channel &channel, AsyncCondition &signal,
+                                                const ServerLimits &limits)
+{
+    ReceivedRequest received;
+    HttpParser parser(HttpMessageKind::Request, limits.maxHeaderBytes, MaxRequestBodyBytes);
     const TimePoint idleDeadline = RuntimeClock::now() + limits.idleTimeout;
     TimePoint requestDeadline{};
     bool isContinueSent = false;
     while (true) {
-        const bool isParsed = parser.consume(channel.input());
-        if (!isParsed || parser.isDone())
-            co_return true;
+        parser.consume(channel.input());
+        received.refusal = refusalStatus(parser, limits);
+        if (received.refusal != 0)
+            co_return received;
+        if (parser.isDone())
+            break;
+        const TimePoint now = RuntimeClock::now();
+        if (parser.hasStarted() && requestDeadline == TimePoint{}) {
+            requestDeadline = now + limits.requestTimeout;
+            channel.setUse(MemoryUse::Arriving);
+        }
+        if (parser.untakenBodyBytes() > LargeBodyBytes)
+            channel.extendBuffers();
+        channel.hold(parser.memoryUse());
         channel.resumeReading();
+        if (channel.isEnded()) {
+            received.refusal = channel.isEvicted() && parser.hasStarted() ? 503 : 0;
+            co_return received;
+        }
         const std::string *expectation = findField(parser.head(), "expect");
         if (parser.isHeadDone() && expectation && !isContinueSent) {
             isContinueSent = true;
             co_await channel.write("HTTP/1.1 100 Continue\r\n\r\n", idleDeadline);
         }
-        if (channel.isEnded())
-            co_return false;
-        const TimePoint now = RuntimeClock::now();
-        if (parser.hasStarted() && requestDeadline == TimePoint{})
-            requestDeadline = now + limits.requestTimeout;
         const TimePoint deadline = parser.hasStarted() ? requestDeadline : idleDeadline;
         if (now >= deadline)
-            co_return false;
+            co_return received;
         co_await signal.wait(deadline);
     }
+    received.isComplete = true;
+    received.keepsAlive = parser.keepsAlive();
+    received.memoryBytes = parser.memoryUse();
+    received.request = {parser.takeHead(), parser.takeBody(), channel.remoteAddress()};
+    channel.restoreBuffers();
+    channel.hold(received.memoryBytes);
+    if (!channel.tryRun())
+        received.refusal = 503;
+    co_return received;
 }
 
 } // namespace
@@ -132,9 +190,13 @@
 void EndpointConnectionPool::putIdle(EndpointConnection connection, TimePoint now)
 {
     connection.channel->setChangeSignal(nullptr);
+    connection.channel->setUse(MemoryUse::Arriving);
+    connection.channel->restoreBuffers();
+    connection.channel->hold(0);
     connection.isReused = true;
     auto &connections = idleConnections_[connection.endpoint];
     const bool isUnusable = connection.isLast || connection.idleDeadline <= now
+                            || connection.channel->isEnded()
                             || connections.size() >= MaxIdlePerEndpoint
                             || connection.refusedIds.size() >= MaxRefusedIds;
     if (isUnusable) {
@@ -148,7 +210,9 @@
 {
     for (auto &[endpoint, connections] : idleConnections_) {
         std::erase_if(connections, [now](EndpointConnection &connection) {
-            const bool isExpired = connection.idleDeadline <= now || connection.channel->isEnded();
+            // Bytes that no request waits for belong to no answer.
+            const bool isExpired = connection.idleDeadline <= now || connection.channel->isEnded()
+                                   || !connection.channel->input().empty();
             if (isExpired)
                 connection.channel->close();
             return isExpired;
@@ -192,21 +256,22 @@
     return std::chrono::seconds(seconds) - KeepAliveMargin;
 }
 
-asio::awaitable<HttpCallResult> callHttp(HttpCall call)
+asio::awaitable<HttpCallResult> callHttp(HttpCall call, ChannelLimits limits)
 {
     HttpCallResult result;
     const TimePoint deadline = RuntimeClock::now() + call.timeout;
-    const ChannelPointer channel = co_await connectChannel(call.address, call.timeout,
-                                                           ResponseInputCapacity, result.error);
+    const ChannelPointer channel = co_await connectChannel(
+            call.address, call.timeout, ResponseInputCapacity, result.error, std::move(limits));
     if (!channel)
         co_return result;
+    channel->setUse(MemoryUse::Running);
     AsyncCondition signal(co_await asio::this_coro::executor);
     channel->setChangeSignal(&signal);
-    HttpParser parser(HttpMessageKind::Response, MaxResponseHeaderBytes, ResponseInputCapacity);
+    HttpParser parser(HttpMessageKind::Response, MaxResponseHeaderBytes, call.maxResponseBytes);
     const std::string request = makeRequestText(call);
     bool isOpen = co_await channel->write(request, deadline);
     while (isOpen) {
-        isOpen = parser.consume(channel->input());
+        isOpen = parser.consume(channel->input()) && channel->hold(parser.memoryUse());
         channel->resumeReading();
         if (channel->isEnded() && !channel->isEndedByError())
             parser.finishInput();
@@ -227,14 +292,16 @@
 }
 
 std::unique_ptr<ChannelListener> serveHttp(asio::io_context &context, const std::string &address,
-                                           ServerHandler handler)
+                                           ServerHandler handler, ChannelLimits channelLimits,
+                                           ServerLimits limits)
 {
     return std::make_unique<ChannelListener>(
-            context, address, RequestInputCapacity, [&context, handler](ChannelPointer channel) {
-                asio::co_spawn(context,
-                               serveConnection(std::move(channel), ServerLimits{}, handler),
+            context, address, RequestInputCapacity,
+            [&context, handler, limits](ChannelPointer channel) {
+                asio::co_spawn(context, serveConnection(std::move(channel), limits, handler),
                                asio::detached);
-            });
+            },
+            std::move(channelLimits));
 }
 
 asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
@@ -244,23 +311,27 @@
     channel->setChangeSignal(&signal);
     bool keepsAlive = true;
     while (keepsAlive) {
-        HttpParser parser(HttpMessageKind::Request, limits.maxHeaderBytes, limits.maxBodyBytes);
-        const bool isRead = co_await readRequest(*channel, signal, parser, limits);
-        if (!isRead)
+        ReceivedRequest received = co_await receiveRequest(*channel, signal, limits);
+        if (!received.isComplete && received.refusal == 0)
             break;
         ServerResponse response;
-        if (parser.error() != HttpParseError::None) {
-            response.status = errorStatus(parser.error());
+        if (received.refusal != 0) {
+            response.status = received.refusal;
             keepsAlive = false;
         } else {
-            keepsAlive = parser.keepsAlive();
-            ServerRequest request{parser.head(), parser.takeBody(), channel->remoteAddress()};
-            response = co_await handler(std::move(request));
+            keepsAlive = received.keepsAlive;
+            response = co_await handler(std::move(received.request));
         }
         const std::string text = makeResponseText(response, keepsAlive);
+        response = {};
+        channel->hold(text.capacity());
         const bool isWritten =
                 co_await channel->write(text, RuntimeClock::now() + limits.requestTimeout);
+        if (isWritten && !received.isComplete)
+            co_await channel->linger();
         keepsAlive = keepsAlive && isWritten;
+        channel->setUse(MemoryUse::Arriving);
+        channel->hold(0);
     }
     channel->setChangeSignal(nullptr);
     channel->close();
--- a/src/libgateway/endpointpool.h
+++ b/src/libgateway/endpointpool.h
@@ -72,6 +72,7 @@
     std::string body;
     std::vector<HttpField> fields;
     Duration timeout = std::chrono::seconds(1);
+    std::size_t maxResponseBytes = 256 * 1024;
 };
 
 struct HttpCallResult
@@ -84,7 +85,7 @@
 };
 
 // Sends the request and waits for the complete response.
-boost::asio::awaitable<HttpCallResult> callHttp(HttpCall call);
+boost::asio::awaitable<HttpCallResult> callHttp(HttpCall call, ChannelLimits limits = {});
 
 // A request to the control, metrics, readiness or entry list interface.
 struct ServerRequest
@@ -109,7 +110,11 @@
 struct ServerLimits
 {
     std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 8 * 1024 * 1024;
+    std::size_t maxBodyBytes = 64 * 1024;
+
+    // Limit of bodies of requests with this head instead, if it is set and larger.
+    std::function<std::size_t(const HttpHead &)> maxBodyBytesOf;
+
     Duration requestTimeout = std::chrono::seconds(10);
     Duration idleTimeout = std::chrono::seconds(30);
 };
@@ -117,7 +122,9 @@
 // Accepts connections on the address and serves their requests with the handler. Throws when it
 // cannot listen.
 std::unique_ptr<ChannelListener> serveHttp(boost::asio::io_context &context,
-                                           const std::string &address, ServerHandler handler);
+                                           const std::string &address, ServerHandler handler,
+                                           ChannelLimits channelLimits = {},
+                                           ServerLimits limits = {});
 
 // Serves the requests of one connection until it ends.
 boost::asio::awaitable<void> serveConnection(ChannelPointer channel, ServerLimits limits,
--- a/src/libgateway/engineends.cpp
+++ b/src/libgateway/engineends.cpp
@@ -28,8 +28,9 @@
     if (isStopping(state, placement))
         co_return false;
     std::string error;
-    const ChannelPointer channel =
-            co_await connectChannel(placement.address, ProbeTimeout, ProbeInputCapacity, error);
+    ChannelLimits limits{state.ledger};
+    const ChannelPointer channel = co_await connectChannel(
+            placement.address, ProbeTimeout, ProbeInputCapacity, error, std::move(limits));
     if (!channel) {
         // The channel reports its errors as texts.
         const auto refused = make_error_code(asio::error::connection_refused);
--- a/src/libgateway/entryconnections.cpp
+++ b/src/libgateway/entryconnections.cpp
@@ -28,8 +28,9 @@
         co_return idle;
     state.metrics.incrementCounter("trefoil_endpoint_connections_total", "");
     const Duration timeout = std::min<Duration>(EndpointConnectTimeout, request.deadline - now);
-    ChannelPointer channel =
-            co_await connectChannel(placement.address, timeout, ResponseInputCapacity, error);
+    ChannelLimits limits{state.ledger};
+    ChannelPointer channel = co_await connectChannel(
+            placement.address, timeout, ResponseInputCapacity, error, std::move(limits));
     if (!channel) {
         error = "cannot connect: " + error;
         recordAttempt(state.placement, placement.endpoint, EndpointResult::Failed, {},
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -54,16 +54,12 @@
 // Evidence about parts of prompts that arrives within this time is evaluated and sent together.
 constexpr auto EvidenceDelay = std::chrono::milliseconds(4);
 
-constexpr std::size_t CallerInputCapacity = 256 * 1024;
+constexpr std::size_t CallerInputCapacity = 32 * 1024;
 constexpr std::size_t LinkInputCapacity = 4 * 1024 * 1024;
 constexpr std::size_t MaxDatagramBytes = 32 * 1024;
 
-// Number of file descriptors that are kept free for files, links and listeners.
-constexpr std::size_t ReservedDescriptors = 260;
-
-// Share of the remaining file descriptors that caller connections may use. Connections to endpoints
-// use the rest.
-constexpr double SessionShare = 0.6;
+// Number of callers that wait to be accepted.
+constexpr int CallerBacklog = 512;
 
 PlacementState makePlacement(const GatewaySettings &settings)
 {
@@ -84,6 +80,7 @@
     , settings(std::move(gatewaySettings))
     , dialect(*findDialect(settings.dialect))
     , placement(makePlacement(settings))
+    , ledger(makeMemoryLedger(settings))
 {}
 
 WindowedRetryBudget &retryBudget(EntryState &state, const std::string &service)
@@ -106,7 +103,8 @@
               context, internalAddress_, LinkInputCapacity, [this] { return makeHello(); },
               [this](const std::string &address, Link & /*link*/, LinkMessage &&message) {
                   handleLinkMessage(address, std::move(message));
-              })
+              },
+              linkLimits(state_.ledger))
 {}
 
 EntryProcess::~EntryProcess() = default;
@@ -116,31 +114,26 @@
     digestSocket_.non_blocking(true);
     receiveDigests();
     reload(state_.settings);
-    const auto maxSessions = static_cast<std::size_t>(
-            SessionShare
-            * static_cast<double>(
-                    std::max<std::size_t>(state_.settings.maxConnections, ReservedDescriptors + 16)
-                    - ReservedDescriptors));
+    ChannelLimits callerLimits{state_.ledger};
+    callerLimits.backlog = CallerBacklog;
     callerListener_ = std::make_unique<ChannelListener>(
             context_, state_.settings.callerListenAddress, CallerInputCapacity,
-            [this, maxSessions](ChannelPointer channel) {
-                if (state_.sessionSignals.size() >= maxSessions) {
-                    state_.metrics.incrementCounter("trefoil_connections_refused_total", "");
-                    channel->close();
-                    return;
-                }
+            [this](ChannelPointer channel) {
                 asio::co_spawn(context_, runRelaySession(state_, std::move(channel)),
                                asio::detached);
-            });
+            },
+            callerLimits);
     if (!state_.settings.readinessListenAddress.empty())
         readinessListener_ = serveHttp(context_, state_.settings.readinessListenAddress,
                                        [this](ServerRequest request) {
                                            return handleReadinessRequest(std::move(request));
-                                       });
+                                       },
+                                       {state_.ledger});
     if (!state_.settings.metricsListenAddress.empty())
         metricsListener_ = serveHttp(
                 context_, state_.settings.metricsListenAddress,
-                [this](ServerRequest request) { return handleMetricsRequest(std::move(request)); });
+                [this](ServerRequest request) { return handleMetricsRequest(std::move(request)); },
+                {state_.ledger});
     tickTimer_.expires_at(RuntimeClock::now());
     state_.sendStallReport = [this] {
         nextHelloAt_ = std::min(nextHelloAt_, RuntimeClock::now() + StallReportDelay);
@@ -530,6 +523,11 @@
     };
     set("active_requests", static_cast<double>(state_.activeRequests));
     set("sessions", static_cast<double>(state_.sessionSignals.size()));
+    set("buffer_bytes", static_cast<double>(state_.ledger->budget().usedBytes));
+    set("buffer_bytes_limit", static_cast<double>(state_.ledger->budget().maxBytes));
+    set("memory_evictions_total", static_cast<double>(state_.ledger->evictedCount()));
+    set("memory_refusals_total", static_cast<double>(state_.ledger->refusedCount()));
+    set("connections_refused_total", static_cast<double>(state_.ledger->refusedConnectionCount()));
     set("idle_endpoint_connections", static_cast<double>(state_.connectionPool.idleCount()));
     set("entries", static_cast<double>(state_.placement.entryCount));
     set("control_links", static_cast<double>(openLinks));
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -52,6 +52,9 @@
     // Whether a control VM passes evidence on to the other entries.
     bool isLinkedToControl = false;
 
+    // Counts the memory of all connections.
+    std::shared_ptr<MemoryLedger> ledger;
+
     EndpointConnectionPool connectionPool;
     Metrics metrics;
 
--- a/src/libgateway/groupleader.cpp
+++ b/src/libgateway/groupleader.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr auto OrderTimeout = std::chrono::milliseconds(1000);
+constexpr std::size_t MaxOrderAnswerBytes = 64 * 1024;
 
 std::string joinTexts(std::span<const std::string> texts)
 {
@@ -54,11 +55,12 @@
 } // namespace
 
 GroupLeader::GroupLeader(asio::io_context &context, const Dialect &dialect,
-                         EndpointReports &reports, Handlers handlers)
+                         EndpointReports &reports, Handlers handlers, ChannelLimits limits)
     : context_(context)
     , dialect_(dialect)
     , reports_(reports)
     , handlers_(std::move(handlers))
+    , limits_(std::move(limits))
 {}
 
 void GroupLeader::lead(const GroupPlannerOptions &options, std::uint64_t term,
@@ -127,9 +129,11 @@
     call.body = dialect_.encodeOrder(order);
     call.fields.push_back({dialect_.headers.expectEndpoint, order.endpoint});
     call.timeout = OrderTimeout;
+    call.maxResponseBytes = MaxOrderAnswerBytes;
     const Endpoint *endpoint = findEndpoint(reports_.table(), order.endpoint);
     const std::uint64_t startedAtMs = endpoint ? endpoint->report.startedAtMs : 0;
-    const HttpCallResult result = co_await callHttp(std::move(call));
+    ChannelLimits limits = limits_;
+    const HttpCallResult result = co_await callHttp(std::move(call), std::move(limits));
     const OrderOutcome outcome = toOrderOutcome(result);
     ordersUnanswered_ += outcome == OrderOutcome::Unanswered ? 1 : 0;
     logEvent(Event::OrderAnswered, {{"order", toString(order.kind)},
--- a/src/libgateway/groupleader.h
+++ b/src/libgateway/groupleader.h
@@ -30,7 +30,7 @@
     };
 
     GroupLeader(boost::asio::io_context &context, const Dialect &dialect, EndpointReports &reports,
-                Handlers handlers);
+                Handlers handlers, ChannelLimits limits);
 
     // Begins to lead. A leader that regains its lease in the same term keeps its planner, because
     // epochs must not restart within a term.
@@ -56,6 +56,7 @@
     const Dialect &dialect_;
     EndpointReports &reports_;
     Handlers handlers_;
+    ChannelLimits limits_;
     std::optional<GroupPlanner> planner_;
     std::uint64_t ordersSent_ = 0;
     std::uint64_t ordersUnanswered_ = 0;
--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -21,6 +21,17 @@
         "trailer",    "upgrade",    "transfer-encoding", "content-length",
 };
 
+// The memory of a body grows by this part of its size at least.
+constexpr std::size_t BodyGrowthDivisor = 4;
+
+// Returns the memory that the allocator gives a text for its characters.
+std::size_t heapBytes(const std::string &text)
+{
+    constexpr std::size_t allocationBytes = 16;
+    static const std::size_t inlineCapacity = std::string().capacity();
+    return text.capacity() <= inlineCapacity ? 0 : text.capacity() + allocationBytes;
+}
+
 // Collects the parts of a message that the Beast parser reports.
 template <bool IsRequest>
 class MessageCollector : public http::basic_parser<IsRequest>
@@ -29,6 +40,9 @@
     HttpHead message;
     std::string bodyBytes;
 
+    // Memory that the texts of the fields take beside the fields.
+    std::size_t fieldBytes = 0;
+
 private:
     using Text = beast::string_view;
     using Error = beast::error_code;
@@ -55,6 +69,8 @@
         error = {};
         message.fields.push_back(
                 {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+        fieldBytes +=
+                heapBytes(message.fields.back().name) + heapBytes(message.fields.back().value);
     }
 
     void on_header_impl(Error &error) override { error = {}; }
@@ -67,6 +83,10 @@
     std::size_t on_body_impl(Text body, Error &error) override
     {
         error = {};
+        const std::size_t size = bodyBytes.size() + body.size();
+        if (size > bodyBytes.capacity())
+            bodyBytes.reserve(
+                    std::max(size, bodyBytes.size() + bodyBytes.size() / BodyGrowthDivisor));
         bodyBytes.append(body.data(), body.size());
         return body.size();
     }
@@ -106,6 +126,8 @@
 struct HttpParser::Impl
 {
     std::variant<MessageCollector<true>, MessageCollector<false>> parser;
+    std::size_t maxHeaderBytes = 0;
+    std::uint64_t announcedBodyBytes = 0;
     HttpParseError error = HttpParseError::None;
     bool hasStarted = false;
     bool isHeadChecked = false;
@@ -114,6 +136,7 @@
 HttpParser::HttpParser(HttpMessageKind kind, std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
     : impl_(std::make_unique<Impl>())
 {
+    impl_->maxHeaderBytes = maxHeaderBytes;
     if (kind == HttpMessageKind::Response)
         impl_->parser.emplace<MessageCollector<false>>();
     std::visit(
@@ -155,6 +178,9 @@
             impl_->parser);
     if (isHeadDone() && !impl_->isHeadChecked) {
         impl_->isHeadChecked = true;
+        if (const std::string *length = findField(head(), "content-length"))
+            std::from_chars(length->data(), length->data() + length->size(),
+                            impl_->announcedBodyBytes);
         if (hasUnsupportedFraming(head()))
             impl_->error = HttpParseError::Malformed;
     }
@@ -222,6 +248,44 @@
                       impl_->parser);
 }
 
+HttpHead HttpParser::takeHead()
+{
+    return std::visit(
+            [](auto &parser) {
+                parser.fieldBytes = 0;
+                return std::exchange(parser.message, {});
+            },
+            impl_->parser);
+}
+
+std::uint64_t HttpParser::announcedBodyBytes() const
+{
+    return impl_->announcedBodyBytes;
+}
+
+std::size_t HttpParser::untakenBodyBytes() const
+{
+    return std::visit([](const auto &parser) { return parser.bodyBytes.size(); }, impl_->parser);
+}
+
+std::size_t HttpParser::memoryUse() const
+{
+    return std::visit(
+            [](const auto &parser) {
+                return parser.bodyBytes.capacity() + parser.fieldBytes
+                       + parser.message.fields.capacity() * sizeof(HttpField);
+            },
+            impl_->parser);
+}
+
+std::size_t memoryUse(const HttpHead &head)
+{
+    std::size_t bytes = head.fields.capacity() * sizeof(HttpField);
+    for (const HttpField &field : head.fields)
+        bytes += heapBytes(field.name) + heapBytes(field.value);
+    return bytes;
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return beast::iequals(beast::string_view(a.data(), a.size()),
@@ -237,26 +301,28 @@
     return found == head.fields.end() ? nullptr : &found->value;
 }
 
-bool isHopByHopField(const HttpHead &head, std::string_view name)
+HopByHopFields::HopByHopFields(const HttpHead &head)
+    : names_(std::begin(HopByHopNames), std::end(HopByHopNames))
 {
-    const bool isListed = std::any_of(
-            std::begin(HopByHopNames), std::end(HopByHopNames),
-            [name](std::string_view listedName) { return equalsIgnoringCase(listedName, name); });
-    if (isListed)
-        return true;
     const std::string *connection = findField(head, "connection");
-    if (!connection)
-        return false;
-    std::string_view rest = *connection;
+    std::string_view rest = connection ? std::string_view(*connection) : std::string_view();
     while (!rest.empty()) {
         std::string_view token = rest.substr(0, rest.find(','));
         rest.remove_prefix(std::min(rest.size(), token.size() + 1));
         token.remove_prefix(std::min(token.size(), token.find_first_not_of(" \t")));
-        token = token.substr(0, token.find_last_not_of(" \t") + 1);
-        if (equalsIgnoringCase(token, name))
-            return true;
+        names_.emplace(token.substr(0, token.find_last_not_of(" \t") + 1));
     }
-    return false;
+}
+
+bool HopByHopFields::contains(std::string_view name) const
+{
+    return names_.contains(std::string(name));
+}
+
+bool LessIgnoringCase::operator()(std::string_view a, std::string_view b) const
+{
+    return beast::iless()(beast::string_view(a.data(), a.size()),
+                          beast::string_view(b.data(), b.size()));
 }
 
 std::string toText(const HttpHead &head)
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,8 +36,22 @@
 // Returns the value of the first field with this name, or null. Ignores case.
 const std::string *findField(const HttpHead &head, std::string_view name);
 
-// True for fields that apply to one connection only and are not forwarded.
-bool isHopByHopField(const HttpHead &head, std::string_view name);
+struct LessIgnoringCase
+{
+    bool operator()(std::string_view a, std::string_view b) const;
+};
+
+// Names of the fields of a head that apply to one connection only and are not forwarded.
+class HopByHopFields
+{
+public:
+    explicit HopByHopFields(const HttpHead &head);
+
+    bool contains(std::string_view name) const;
+
+private:
+    std::set<std::string, LessIgnoringCase> names_;
+};
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 
@@ -44,6 +59,9 @@
 
 enum class HttpParseError : std::uint8_t { None, HeaderTooLarge, BodyTooLarge, Malformed };
 
+// Returns the memory that a head takes.
+std::size_t memoryUse(const HttpHead &head);
+
 // Parses one message incrementally.
 class HttpParser
 {
@@ -80,6 +98,18 @@
     // Returns the body bytes that arrived since the last call.
     std::string takeBody();
 
+    // Returns the head and leaves an empty one.
+    HttpHead takeHead();
+
+    // Returns the number of body bytes that the head announces, 0 without a length.
+    std::uint64_t announcedBodyBytes() const;
+
+    // Returns the number of body bytes that were not taken.
+    std::size_t untakenBodyBytes() const;
+
+    // Returns the memory of the head and the body that were not taken, with the spare capacity.
+    std::size_t memoryUse() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
--- a/src/libgateway/link.cpp
+++ b/src/libgateway/link.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr std::size_t LengthBytes = 4;
-constexpr std::size_t MaxMessageBytes = 32 * 1024 * 1024;
+// Size of the kernel's buffers of a link.
+constexpr std::size_t LinkBufferBytes = 64 * 1024;
 
 // A peer that does not read is disconnected when this many bytes wait for it.
 constexpr std::size_t MaxSendBufferBytes = 48 * 1024 * 1024;
@@ -46,6 +47,13 @@
             channel_->executor(), [self] { return self->writeMessages(); }, asio::detached);
 }
 
+ChannelLimits linkLimits(std::shared_ptr<MemoryLedger> ledger)
+{
+    ChannelLimits limits{std::move(ledger)};
+    limits.kernelBufferBytes = LinkBufferBytes;
+    return limits;
+}
+
 std::string encodeLinkFrame(const LinkMessage &message)
 {
     const std::string payload = encodeLinkMessage(message);
@@ -56,6 +64,12 @@
     return bytes + payload;
 }
 
+void Link::protect(std::size_t inputCapacity)
+{
+    channel_->setInputCapacity(inputCapacity);
+    channel_->protect();
+}
+
 void Link::send(const LinkMessage &message)
 {
     if (!isEnded_)
@@ -71,16 +85,23 @@
         close("the peer does not read");
         return;
     }
+    holdMessages();
     writeSignal_.notify();
 }
 
+void Link::holdMessages()
+{
+    if (!isEnded_ && !channel_->hold(sendBuffer_.capacity() + writingBytes_))
+        close("the memory for messages is used up");
+}
+
 // Handles the complete messages in the input. Returns false when the link must end.
 bool Link::handleInput(std::string &reason)
 {
     std::string &input = channel_->input();
     while (input.size() >= LengthBytes) {
         const std::size_t length = decodeFrameLength(input);
-        if (length > MaxMessageBytes) {
+        if (LengthBytes + length > channel_->inputCapacity()) {
             reason = "a message is too long";
             return false;
         }
@@ -133,7 +154,10 @@
             continue;
         }
         const std::string bytes = std::exchange(sendBuffer_, {});
+        writingBytes_ = bytes.capacity();
         const bool isWritten = co_await channel_->write(bytes, RuntimeClock::now() + timeout_);
+        writingBytes_ = 0;
+        holdMessages();
         if (!isWritten) {
             close("a write failed");
             break;
--- a/src/libgateway/link.h
+++ b/src/libgateway/link.h
@@ -30,6 +30,10 @@
     // encoded only once.
     void sendFrame(std::string_view frame);
 
+    // Keeps the connection as that of a peer of the system, whose messages have up to
+    // `inputCapacity` bytes.
+    void protect(std::size_t inputCapacity);
+
     // Latest hello of the peer, maintained by the owner of the link.
     LinkHello peerHello;
     bool hasHello = false;
@@ -48,10 +52,17 @@
     EndHandler onEnd_;
     AsyncCondition readSignal_;
     AsyncCondition writeSignal_;
+    // Counts the memory of the messages that wait to be sent.
+    void holdMessages();
+
     std::string sendBuffer_;
+    std::size_t writingBytes_ = 0;
     bool isEnded_ = false;
 };
 
+// Returns the bounds of the connections of links.
+ChannelLimits linkLimits(std::shared_ptr<MemoryLedger> ledger);
+
 // Encodes a message with its length, as it is sent on a link.
 std::string encodeLinkFrame(const LinkMessage &message);
 
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -68,6 +68,7 @@
         return isRepeatable(*request.route);
     case AttemptOutcome::Withdrawn:
     case AttemptOutcome::Answered:
+    case AttemptOutcome::OutOfMemory:
     case AttemptOutcome::TimedOut:
     case AttemptOutcome::CallerDisconnected:
         return false;
@@ -141,13 +142,14 @@
     return 2 * std::min(priority, LowestEnginePriority) + (isLate ? 1 : 0);
 }
 
-// Encodes the request for the endpoint. The caller's key and hop-by-hop fields are left out,
-// and the fields that the entry sets are replaced.
-std::string makeRequestText(const RelayContext &context, const RelayRequest &request,
+// Encodes the head of the request for the endpoint. The caller's key and hop-by-hop fields are left
+// out, and the fields that the entry sets are replaced.
+std::string makeRequestHead(const RelayContext &context, const RelayRequest &request,
                             const RelayProgress &progress, const Placement &placement)
 {
     const HeaderNames &headerNames = context.state.dialect.headers;
     const bool isResumption = progress.isResponseHeadSent;
+    const HopByHopFields hopByHopFields(request.head);
     HttpHead head;
     head.method = request.head.method;
     head.target = request.head.target;
@@ -160,7 +162,7 @@
                 hasName(headerNames.timeLeft) || hasName(headerNames.expectEndpoint)
                 || hasName(headerNames.workspace) || hasName(headerNames.priority)
                 || hasName("expect") || (isResumption && hasName(headerNames.lastEventId));
-        if (!isKey && !isSetByEntry && !isHopByHopField(request.head, field.name))
+        if (!isKey && !isSetByEntry && !hopByHopFields.contains(field.name))
             head.fields.push_back(field);
     }
     const Duration remaining = std::max(request.deadline - RuntimeClock::now(),
@@ -178,7 +180,7 @@
                                || findField(request.head, "transfer-encoding");
     if (hasBodyHeader || !request.body.empty())
         head.fields.push_back({"Content-Length", std::to_string(request.body.size())});
-    return toText(head) + request.body;
+    return toText(head);
 }
 
 asio::awaitable<AttemptOutcome> runAttempt(RelayContext &context, RelayRequest &request,
@@ -203,9 +205,11 @@
     ++progress.sendCount;
     const bool mayHaveExecutedBefore = progress.mayHaveExecuted;
     progress.mayHaveExecuted = true;
-    const std::string text = makeRequestText(context, request, progress, placement);
+    connection->channel->setUse(MemoryUse::Running);
+    const std::string head = makeRequestHead(context, request, progress, placement);
     const bool isWritten = co_await connection->channel->write(
-            text, std::min<TimePoint>(request.deadline, RuntimeClock::now() + RequestWriteTimeout));
+            head, request.body,
+            std::min<TimePoint>(request.deadline, RuntimeClock::now() + RequestWriteTimeout));
     AttemptOutcome outcome = AttemptOutcome::Unknown;
     if (isWritten)
         outcome = co_await relayResponse(context, request, progress, placement, *connection, load);
@@ -213,6 +217,11 @@
         progress.lastReason = "the request could not be written";
         progress.isConnectionLost = true;
     }
+    if (connection->channel->isEvicted()) {
+        progress.lastReason = "the memory for answers is used up";
+        progress.isConnectionLost = false;
+        outcome = AttemptOutcome::OutOfMemory;
+    }
     if (outcome == AttemptOutcome::NotExecuted)
         progress.mayHaveExecuted = mayHaveExecutedBefore;
     connection->channel->setChangeSignal(nullptr);
--- a/src/libgateway/relayrefusal.cpp
+++ b/src/libgateway/relayrefusal.cpp
@@ -26,15 +26,31 @@
     co_return isWritten &&keepsAlive;
 }
 
+asio::awaitable<void> refuseUnread(RelayContext &context, std::uint32_t status,
+                                   std::string_view text)
+{
+    context.channel->hold(0);
+    co_await sendErrorResponse(context, status, text, {}, false);
+    co_await context.channel->linger();
+}
+
 asio::awaitable<void> refuseMalformed(RelayContext &context, HttpParseError error)
 {
     context.state.metrics.incrementCounter("trefoil_malformed_requests_total", "");
     if (error == HttpParseError::HeaderTooLarge)
-        co_await sendErrorResponse(context, 431, "the header is too large", {}, false);
+        co_await refuseUnread(context, 431, "the header is too large");
     else if (error == HttpParseError::BodyTooLarge)
-        co_await sendErrorResponse(context, 413, "the body is too large", {}, false);
+        co_await refuseUnread(context, 413, "the body is too large");
     else
-        co_await sendErrorResponse(context, 400, "the request is not valid HTTP", {}, false);
+        co_await refuseUnread(context, 400, "the request is not valid HTTP");
+}
+
+asio::awaitable<void> refuseEvicted(RelayContext &context)
+{
+    std::vector<HttpField> fields;
+    fields.push_back({"Retry-After", secondsText(DefaultRetryAfter)});
+    co_await sendErrorResponse(context, 503, "the memory for requests is used up",
+                               std::move(fields), false);
 }
 
 asio::awaitable<bool> refuseRequest(RelayContext &context, const RelayRequest &request,
--- a/src/libgateway/relayrefusal.h
+++ b/src/libgateway/relayrefusal.h
@@ -15,9 +15,16 @@
                                                std::string_view text, std::vector<HttpField> fields,
                                                bool keepsAlive);
 
+// Refuses a request that was not read to its end. The connection must be closed afterwards.
+boost::asio::awaitable<void> refuseUnread(RelayContext &context, std::uint32_t status,
+                                          std::string_view text);
+
 // Refuses bytes that are not a valid request.
 boost::asio::awaitable<void> refuseMalformed(RelayContext &context, HttpParseError error);
 
+// Refuses a request that gave up its memory before it was complete.
+boost::asio::awaitable<void> refuseEvicted(RelayContext &context);
+
 // Refuses a request before its first attempt. Returns whether the connection stays open.
 boost::asio::awaitable<bool> refuseRequest(RelayContext &context, const RelayRequest &request,
                                            std::uint32_t status, std::string_view text,
--- a/src/libgateway/relayrequest.cpp
+++ b/src/libgateway/relayrequest.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::string_view AttemptOutcomeNames[] = {"answered",  "failed",    "not run",
-                                                    "unknown",   "stalled",   "stuck",
-                                                    "withdrawn", "timed out", "caller gone"};
+constexpr std::string_view AttemptOutcomeNames[] = {
+        "answered", "failed",    "not run",   "unknown",   "stalled",
+        "stuck",    "withdrawn", "no memory", "timed out", "caller gone"};
 
 } // namespace
 
--- a/src/libgateway/relayrequest.h
+++ b/src/libgateway/relayrequest.h
@@ -57,6 +57,9 @@
     TimePoint targetDeadline{};
 
     bool keepsAlive = true;
+
+    // Memory of the head and the body.
+    std::size_t memoryBytes = 0;
 };
 
 // Result of one attempt to have an endpoint serve the request.
@@ -82,6 +85,9 @@
     // The request was taken back before its answer began, because its parts end engines.
     Withdrawn,
 
+    // The answer got no memory.
+    OutOfMemory,
+
     // The deadline of the caller or the route passed.
     TimedOut,
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -17,6 +17,12 @@
 
 constexpr auto BodyReadTimeout = std::chrono::seconds(10);
 
+// Input beyond the head that a connection reads ahead.
+constexpr std::size_t ReadAheadBytes = 16 * 1024;
+
+// Bodies that are larger are received through larger buffers of the kernel.
+constexpr std::size_t LargeBodyBytes = 32 * 1024;
+
 // During a planned stop, idle connections stay open for this time.
 constexpr auto DrainIdlePeriod = std::chrono::seconds(3);
 
@@ -67,49 +73,94 @@
     return idleSince + limits.idleTimeout;
 }
 
-// Reads the next request. Returns false when the connection ended, timed out or sent invalid
-// HTTP.
-asio::awaitable<bool> readRequest(RelayContext &context, RelayRequest &request)
+// Counts the memory of a request that arrives. Returns false when it is refused.
+bool holdArriving(Channel &channel, const HttpParser &parser)
+{
+    const bool isLarge =
+            parser.isHeadDone() && !parser.isDone()
+            && std::max<std::uint64_t>(parser.announcedBodyBytes(), parser.untakenBodyBytes())
+                       > LargeBodyBytes;
+    if (isLarge)
+        channel.extendBuffers();
+    return channel.hold(parser.memoryUse());
+}
+
+enum class ReadResult : std::uint8_t { Complete, Ended, Malformed, Late, Evicted };
+
+// Receives the next request. `error` is set when it is malformed.
+asio::awaitable<ReadResult> receiveRequest(RelayContext &context, RelayRequest &request,
+                                           HttpParseError &error)
 {
     const RequestLimits limits = requestLimits(context);
+    Channel &channel = *context.channel;
+    channel.setInputCapacity(limits.maxHeaderBytes + ReadAheadBytes);
     HttpParser parser(HttpMessageKind::Request, limits.maxHeaderBytes, limits.maxBodyBytes);
     const TimePoint idleSince = RuntimeClock::now();
     TimePoint startedAt{};
-    bool isContinueSent = false;
+    bool isHeadSeen = false;
     while (true) {
-        const bool isParsed = parser.consume(context.channel->input());
-        if (parser.hasStarted() && startedAt == TimePoint{})
+        const bool isParsed = parser.consume(channel.input());
+        if (parser.hasStarted() && startedAt == TimePoint{}) {
             startedAt = RuntimeClock::now();
+            channel.setUse(MemoryUse::Arriving);
+        }
         if (!isParsed) {
-            co_await refuseMalformed(context, parser.error());
-            co_return false;
+            error = parser.error();
+            co_return ReadResult::Malformed;
         }
         if (parser.isDone())
             break;
-        context.channel->resumeReading();
-        if (context.channel->isEnded())
-            co_return false;
-        const bool expectsContinue = parser.isHeadDone() && findField(parser.head(), "expect");
-        if (expectsContinue && !isContinueSent) {
-            isContinueSent = true;
-            co_await context.channel->write("HTTP/1.1 100 Continue\r\n\r\n",
-                                            RuntimeClock::now() + CallerWriteTimeout);
+        holdArriving(channel, parser);
+        channel.resumeReading();
+        if (channel.isEnded())
+            co_return channel.isEvicted() && parser.hasStarted() ? ReadResult::Evicted
+                                                                 : ReadResult::Ended;
+        const bool isHeadNew = parser.isHeadDone() && !isHeadSeen;
+        isHeadSeen = parser.isHeadDone();
+        if (isHeadNew && findField(parser.head(), "expect")) {
+            co_await channel.write("HTTP/1.1 100 Continue\r\n\r\n",
+                                   RuntimeClock::now() + CallerWriteTimeout);
         }
         const TimePoint deadline = readDeadline(context, parser, idleSince, startedAt, limits);
-        if (RuntimeClock::now() >= deadline) {
-            if (parser.hasStarted())
-                co_await sendErrorResponse(context, 408, "the request did not arrive in time", {},
-                                           false);
-            co_return false;
-        }
+        if (RuntimeClock::now() >= deadline)
+            co_return parser.hasStarted() ? ReadResult::Late : ReadResult::Ended;
         co_await context.signal.wait(deadline);
     }
-    context.channel->resumeReading();
-    request.head = parser.head();
-    request.body = parser.takeBody();
     request.keepsAlive = parser.keepsAlive();
+    request.memoryBytes = parser.memoryUse();
+    request.head = parser.takeHead();
+    request.body = parser.takeBody();
     request.arrivedAt = startedAt;
-    co_return true;
+    channel.restoreBuffers();
+    channel.hold(request.memoryBytes);
+    // While the request runs, input is only read to notice the end of the connection.
+    channel.setInputCapacity(KeptInputBytes);
+    channel.resumeReading();
+    co_return ReadResult::Complete;
+}
+
+// Reads the next request, or refuses it when it cannot be read to its end. Returns false when there
+// is none.
+asio::awaitable<bool> readRequest(RelayContext &context, RelayRequest &request)
+{
+    HttpParseError error = HttpParseError::None;
+    const ReadResult result = co_await receiveRequest(context, request, error);
+    switch (result) {
+    case ReadResult::Complete:
+        co_return true;
+    case ReadResult::Ended:
+        break;
+    case ReadResult::Malformed:
+        co_await refuseMalformed(context, error);
+        break;
+    case ReadResult::Late:
+        co_await refuseUnread(context, 408, "the request did not arrive in time");
+        break;
+    case ReadResult::Evicted:
+        co_await refuseEvicted(context);
+        break;
+    }
+    co_return false;
 }
 
 void setDeadlines(const RelayContext &context, RelayRequest &request)
@@ -194,6 +245,11 @@
         logRequestEnd(context, request, progress, 200, "answered");
         co_return keepsConnectionOpen(context, request);
     }
+    if (context.channel->isEvicted() && !progress.isResponseHeadSent) {
+        progress.lastReason = "the memory for requests is used up";
+        co_return co_await refuseAfterAttempts(context, request, progress,
+                                               progress.mayHaveExecuted ? 502 : 503, {});
+    }
     if (progress.lastOutcome == AttemptOutcome::CallerDisconnected || context.channel->isEnded()) {
         logRequestEnd(context, request, progress, 0, "caller gone");
         co_return false;
@@ -235,6 +291,10 @@
     if (!takesRequests(context.state))
         co_return co_await refuseRequest(context, request, 503, "the entry stops",
                                          Duration(DefaultRetryAfter));
+    if (!context.channel->tryRun())
+        co_return co_await refuseRequest(context, request, 503,
+                                         "the memory for requests is used up",
+                                         Duration(DefaultRetryAfter));
     RelayProgress progress;
     if (const std::string *lastEventIdField =
                 findField(request.head, context.state.dialect.headers.lastEventId)) {
@@ -291,6 +351,9 @@
         ++state.requestCount;
         keepsConnectionOpen = co_await serveRequest(context, request);
         --state.activeRequests;
+        request = {};
+        channel->setUse(MemoryUse::Arriving);
+        channel->hold(0);
     }
 }
 
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t MaxResponseBodyBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxEventBytes = 256 * 1024;
 
+// Answers that are larger are received through larger buffers of the kernel.
+constexpr std::size_t LargeAnswerBytes = 32 * 1024;
+
 // Maximum number of interim responses and late responses to earlier requests that an attempt skips.
 constexpr std::uint32_t MaxUnrelatedResponses = 32;
 
@@ -135,8 +138,9 @@
                            const HttpHead &response)
 {
     HttpHead head = response;
-    std::erase_if(head.fields, [&response](const HttpField &field) {
-        return isHopByHopField(response, field.name);
+    const HopByHopFields hopByHopFields(response);
+    std::erase_if(head.fields, [&hopByHopFields](const HttpField &field) {
+        return hopByHopFields.contains(field.name);
     });
     if (request.head.isHttp11)
         head.fields.push_back({"Transfer-Encoding", "chunked"});
@@ -215,12 +219,18 @@
         co_return AttemptOutcome::Unknown;
     }
     std::string body = parser.takeBody();
+    // From here on the body waits for the caller.
+    connection.channel->hold(0);
+    const bool isHeld = context.channel->hold(request.memoryBytes + body.capacity()
+                                              + progress.failureBody.capacity());
     if (!isSuccess) {
         progress.lastReason = "status " + std::to_string(head.status);
         progress.failureHead = head;
         progress.failureBody = std::move(body);
         co_return AttemptOutcome::Failed;
     }
+    if (!isHeld)
+        co_return AttemptOutcome::CallerDisconnected;
     progress.hasBegun = true;
     addEvidence(context.state, recordBegunAnswer(context.state.quarantine, request.sharedParts,
                                                  RuntimeClock::now()));
@@ -231,6 +241,18 @@
     co_return isCallerGone ? AttemptOutcome::CallerDisconnected : AttemptOutcome::Answered;
 }
 
+// Counts the memory of an answer that arrives. Returns false when it is refused.
+bool holdAnswer(Channel &endpoint, const RelayProgress &progress, const HttpParser &parser)
+{
+    const bool isLarge =
+            parser.isHeadDone() && !parser.isDone()
+            && std::max<std::uint64_t>(parser.announcedBodyBytes(), parser.untakenBodyBytes())
+                       > LargeAnswerBytes;
+    if (isLarge)
+        endpoint.extendBuffers();
+    return endpoint.hold(parser.memoryUse() + progress.eventFilter.incompleteEvent.capacity());
+}
+
 } // namespace
 
 asio::awaitable<AttemptOutcome> relayResponse(RelayContext &context, RelayRequest &request,
@@ -248,6 +270,8 @@
     HttpParser parser = makeResponseParser(request);
     while (true) {
         const bool isParsed = parser.consume(endpoint.input());
+        if (!holdAnswer(endpoint, progress, parser))
+            co_return AttemptOutcome::OutOfMemory;
         endpoint.resumeReading();
         if (endpoint.isEnded() && !endpoint.isEndedByError() && endpoint.input().empty())
             parser.finishInput();
@@ -340,8 +364,9 @@
     HttpHead head = response;
     const std::string *length = findField(response, "content-length");
     const std::string declaredLength = length ? *length : "0";
-    std::erase_if(head.fields, [&response](const HttpField &field) {
-        return isHopByHopField(response, field.name);
+    const HopByHopFields hopByHopFields(response);
+    std::erase_if(head.fields, [&hopByHopFields](const HttpField &field) {
+        return hopByHopFields.contains(field.name);
     });
     const bool hasNoBody = response.status == 204 || response.status == 304;
     const bool isHeadRequest = request.head.method == "HEAD";
@@ -350,9 +375,9 @@
                 {"Content-Length", isHeadRequest ? declaredLength : std::to_string(body.size())});
     if (!keepsConnectionOpen(context, request))
         head.fields.push_back({"Connection", "close"});
-    const std::string text = toText(head) + body;
-    const bool isWritten =
-            co_await context.channel->write(text, RuntimeClock::now() + CallerWriteTimeout);
+    const std::string headText = toText(head);
+    const bool isWritten = co_await context.channel->write(
+            headText, body, RuntimeClock::now() + CallerWriteTimeout);
     co_return isWritten &&keepsConnectionOpen(context, request);
 }
 
--- a/src/libgateway/rungateway.cpp
+++ b/src/libgateway/rungateway.cpp
@@ -11,10 +11,14 @@
 #include <csignal>
 #include <iostream>
 
+#include <malloc.h>
+
 namespace Trefoil {
 
 namespace {
 
+constexpr int LargeAllocationBytes = 128 * 1024;
+
 enum ExitCode { ExitOk = 0, ExitUsageError = 1, ExitSettingsError = 2, ExitFailure = 3 };
 
 // Adds a finding for each setting that the role needs and that is missing.
@@ -123,6 +127,9 @@
         return ExitOk;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // Large buffers go back to the system when they are freed. By default the allocator keeps more
+    // of them after the first ones.
+    ::mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
     startStructuredLog(loaded.settings.name);
     if (role == "entry")
         return runProcess<EntryProcess>(role, settingsPath, loaded.settings);
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -53,6 +53,8 @@
         {Event::EndpointLimitInvalid, Warning, "an endpoint named a limit that cannot be used"},
         {Event::EndpointHeldOff, Info, "an endpoint wants no requests for a while"},
         {Event::HoldOffInvalid, Warning, "an endpoint named a time that cannot be used"},
+        {Event::MemoryExhausted, Warning, "connections gave up their memory"},
+        {Event::MemoryRefused, Warning, "a connection or request got no memory"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -49,6 +49,8 @@
     EndpointLimitInvalid = 512,
     EndpointHeldOff = 513,
     HoldOffInvalid = 514,
+    MemoryExhausted = 515,
+    MemoryRefused = 516,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
--- /dev/null
+++ b/tests/crowds/gatewaysystem.cpp
@@ -0,0 +1,317 @@
+#include "crowds/gatewaysystem.h"
+
+#include "libruntime/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
+#include <boost/process/handles.hpp>
+#include <boost/process/io.hpp>
+
+#include <sys/prctl.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace process = boost::process;
+
+namespace {
+
+constexpr const char *EntryAddress = "127.46.0.1";
+constexpr const char *ControlAddress = "127.46.0.2";
+constexpr const char *EndpointAddress = "127.46.0.3:8000";
+constexpr const char *Host = "crowds.example";
+constexpr const char *EndpointName = "e1";
+constexpr auto HeartbeatInterval = std::chrono::milliseconds(300);
+constexpr auto RetryDelay = std::chrono::milliseconds(300);
+constexpr int MaxTries = 60;
+constexpr std::size_t InputCapacity = 64 * 1024;
+
+asio::awaitable<void> sleepFor(Duration duration)
+{
+    RuntimeTimer timer(co_await asio::this_coro::executor, RuntimeClock::now() + duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+void killWithParent()
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+std::string quoted(const std::string &text)
+{
+    return "\"" + text + "\"";
+}
+
+std::string makeConfiguration(const GatewaySystemOptions &options)
+{
+    json::object route{{"name", "book"},          {"host", Host},
+                       {"path-prefix", "/book/"}, {"kind", "non_idempotent"},
+                       {"timeout-ms", 20'000},    {"target-latency-ms", 500},
+                       {"service", "ledger"},     {"attempts", 2}};
+    json::object service{
+            {"name", "ledger"}, {"health-path", "/health"}, {"max-connections", 10'000}};
+    json::object limits{{"max-header-bytes", options.maxHeaderBytes},
+                        {"max-body-bytes", options.maxBodyBytes},
+                        {"header-timeout-ms", options.headerTimeout.count()},
+                        {"idle-timeout-ms", options.idleTimeout.count()}};
+    return json::serialize(json::object{{"version", 1},
+                                        {"routes", json::array{route}},
+                                        {"services", json::array{service}},
+                                        {"limits", limits}});
+}
+
+// Returns the value in bytes of a line of /proc/PID/status, which counts in kB.
+std::size_t readStatusBytes(const GatewayNode &node, const std::string &name)
+{
+    std::ifstream file("/proc/" + std::to_string(node.process->id()) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with(name + ":"))
+            return std::stoul(line.substr(name.size() + 1)) * 1024;
+    }
+    return 0;
+}
+
+// Returns the address as /proc/net/tcp writes it.
+std::string kernelText(const std::string &address)
+{
+    const auto bytes = asio::ip::make_address_v4(address).to_bytes();
+    char text[9];
+    std::snprintf(text, sizeof text, "%02X%02X%02X%02X", bytes[3], bytes[2], bytes[1], bytes[0]);
+    return text;
+}
+
+} // namespace
+
+bool isRunning(GatewayNode &node)
+{
+    return node.process && node.process->running();
+}
+
+std::size_t readPeakResidentBytes(const GatewayNode &node)
+{
+    return readStatusBytes(node, "VmHWM");
+}
+
+ProcessUsage readUsage(const GatewayNode &node)
+{
+    ProcessUsage usage;
+    usage.residentBytes = readStatusBytes(node, "VmRSS");
+    std::set<std::string> sockets;
+    std::error_code error;
+    const std::string folder = "/proc/" + std::to_string(node.process->id()) + "/fd";
+    for (const auto &item : std::filesystem::directory_iterator(folder, error)) {
+        ++usage.openDescriptors;
+        const std::string target = std::filesystem::read_symlink(item, error).string();
+        if (target.starts_with("socket:["))
+            sockets.insert(target.substr(8, target.size() - 9));
+    }
+    std::ifstream table("/proc/net/tcp");
+    const std::string ownAddress = kernelText(node.address);
+    std::string line;
+    std::getline(table, line);
+    while (std::getline(table, line)) {
+        std::istringstream fields(line);
+        std::string number, local, remote, state, queues, timer, retransmits, user, timeout, inode;
+        fields >> number >> local >> remote >> state >> queues >> timer >> retransmits >> user
+                >> timeout >> inode;
+        const bool isListening = state == "0A";
+        const bool isOwn = sockets.contains(inode) || local.starts_with(ownAddress + ":");
+        if (isListening || !isOwn)
+            continue;
+        usage.queuedBytes += std::stoul(queues.substr(0, 8), nullptr, 16)
+                             + std::stoul(queues.substr(9), nullptr, 16);
+    }
+    return usage;
+}
+
+std::string addressOf(const GatewayNode &node, std::uint16_t port)
+{
+    return node.address + ":" + std::to_string(port);
+}
+
+GatewaySystem::GatewaySystem(asio::io_context &context, std::string folder,
+                             GatewaySystemOptions options)
+    : context_(context)
+    , folder_(std::move(folder))
+    , options_(options)
+{
+    entry.role = "entry";
+    entry.address = EntryAddress;
+    control.role = "control";
+    control.address = ControlAddress;
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+    endpointListener_ = std::make_unique<ChannelListener>(
+            context_, EndpointAddress, InputCapacity, [this](ChannelPointer channel) {
+                asio::co_spawn(context_, serveEndpoint(std::move(channel)), asio::detached);
+            });
+}
+
+GatewaySystem::~GatewaySystem()
+{
+    for (GatewayNode *node : {&entry, &control}) {
+        if (!isRunning(*node))
+            continue;
+        node->process->terminate();
+        node->process->wait();
+    }
+}
+
+void GatewaySystem::startNode(GatewayNode &node)
+{
+    const std::string path = folder_ + "/" + node.role + ".yaml";
+    std::ofstream file(path);
+    file << "node:\n  name: " << node.role
+         << "\n  region: crowds\n  domain: d1\n  address: " << node.address
+         << "\n  internal_port: " << InternalPort
+         << "\n  first_start: true\n  dialect: platform\n  seeds:\n    - "
+         << quoted(addressOf(control, ControlPort))
+         << "\nlisten:\n  metrics: " << quoted(addressOf(node, MetricsPort)) << "\n";
+    if (node.role == "control")
+        file << "  control: " << quoted(addressOf(node, ControlPort))
+             << "\n  entry_list: " << quoted(addressOf(node, EntryListPort))
+             << "\ndata: " << quoted(folder_ + "/data") << "\n";
+    else
+        file << "  callers: " << quoted(addressOf(node, CallerPort))
+             << "\n  readiness: " << quoted(addressOf(node, ReadinessPort)) << "\n";
+    file << "limits:\n  connections: " << options_.connections
+         << "\n  memory: " << options_.memoryMb << "\n  tolerated_losses: 0\n  heartbeat: 300ms\n";
+    file.close();
+    std::FILE *log = std::fopen((folder_ + "/" + node.role + ".log").c_str(), "a");
+    node.process = std::make_unique<process::child>(
+            TREFOIL_DAEMON, process::args({"--gateway", node.role, "--settings", path}),
+            process::std_out > log, process::std_err > log, process::std_in < process::null,
+            process::limit_handles,
+            process::extend::on_exec_setup([](auto & /*executor*/) { killWithParent(); }));
+    std::fclose(log);
+}
+
+asio::awaitable<bool> GatewaySystem::start()
+{
+    startNode(control);
+    startNode(entry);
+    const bool isPublished = co_await publishConfiguration();
+    if (!isPublished)
+        co_return false;
+    asio::co_spawn(context_, sendHeartbeats(), asio::detached);
+    co_return co_await serveOneRequest();
+}
+
+asio::awaitable<bool> GatewaySystem::publishConfiguration()
+{
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        HttpCall call;
+        call.address = addressOf(control, ControlPort);
+        call.target = "/trefoilrun/configuration/replace";
+        call.body = makeConfiguration(options_);
+        const HttpCallResult result = co_await callHttp(std::move(call));
+        if (result.status == 200)
+            co_return true;
+        co_await sleepFor(RetryDelay);
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> GatewaySystem::readConfiguration()
+{
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        HttpCall call;
+        call.address = addressOf(control, ControlPort);
+        call.method = "GET";
+        call.target = "/trefoilrun/configuration/read";
+        const HttpCallResult result = co_await callHttp(std::move(call));
+        if (result.status == 200)
+            co_return true;
+        co_await sleepFor(RetryDelay);
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> GatewaySystem::serveOneRequest()
+{
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        HttpCall call;
+        call.address = addressOf(entry, CallerPort);
+        call.target = OrdinaryTarget;
+        call.body = "ordinary";
+        call.fields = {{"Host", Host},
+                       {"X-Trefoilrun-Attempt-Id", "r" + std::to_string(nextRequest_++)}};
+        const HttpCallResult result = co_await callHttp(std::move(call));
+        if (result.status == 200)
+            co_return true;
+        co_await sleepFor(RetryDelay);
+    }
+    co_return false;
+}
+
+asio::awaitable<void> GatewaySystem::sendHeartbeats()
+{
+    const std::uint64_t startedAtMs = wallTimeMs();
+    for (std::uint64_t sequence = 1;; ++sequence) {
+        HttpCall call;
+        call.address = addressOf(control, ControlPort);
+        call.target = std::string("/trefoilrun/instances/") + EndpointName + "/heartbeat";
+        call.body = json::serialize(json::object{{"service", "ledger"},
+                                                 {"address", EndpointAddress},
+                                                 {"zone", "d1"},
+                                                 {"version", "v1"},
+                                                 {"slots", 1000},
+                                                 {"state", "ready"},
+                                                 {"cold-remaining-ms", 0},
+                                                 {"sequence", sequence},
+                                                 {"born", startedAtMs}});
+        co_await callHttp(std::move(call));
+        co_await sleepFor(HeartbeatInterval);
+    }
+}
+
+// Answers the requests of one connection by their target.
+asio::awaitable<void> GatewaySystem::serveEndpoint(ChannelPointer channel)
+{
+    static const std::string largeBody(LargeAnswerBytes, 'a');
+    AsyncCondition signal(channel->executor());
+    channel->setChangeSignal(&signal);
+    while (!channel->isEnded()) {
+        HttpParser parser(HttpMessageKind::Request, InputCapacity, 64 * 1024 * 1024);
+        while (parser.consume(channel->input()) && !parser.isDone() && !channel->isEnded()) {
+            channel->resumeReading();
+            co_await signal.wait();
+        }
+        if (!parser.isDone())
+            break;
+        while (parser.head().target == UnansweredTarget && !channel->isEnded())
+            co_await signal.wait();
+        const bool isLarge = parser.head().target == LargeAnswerTarget;
+        const std::string body = isLarge ? largeBody : "served";
+        const std::string *id = findField(parser.head(), "X-Trefoilrun-Attempt-Id");
+        const std::string head =
+                "HTTP/1.1 200 OK\r\nX-Trefoilrun-Attempt-Id: " + (id ? *id : std::string())
+                + "\r\nX-Trefoilrun-Response-Seal: s\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n";
+        const TimePoint deadline = RuntimeClock::now() + std::chrono::seconds(30);
+        const bool isWritten =
+                co_await channel->write(head, deadline) && co_await channel->write(body, deadline);
+        if (!isWritten)
+            break;
+        if (unsolicitedBytes > 0)
+            co_await channel->write(std::string(unsolicitedBytes, 'x'), deadline);
+        channel->resumeReading();
+    }
+    channel->setChangeSignal(nullptr);
+    channel->close();
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/tests/crowds/test_crowds.cpp
@@ -0,0 +1,320 @@
+#define BOOST_TEST_MODULE crowds
+#include "crowds/crowd.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <functional>
+
+// Tests that crowds of clients which break or use up the limits of requests do no harm: the
+// processes live, their memory and open descriptors stay under the limits of their settings, and an
+// ordinary request is answered while the crowd is still there.
+
+namespace Trefoil {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+
+constexpr std::size_t MegaByte = 1024 * 1024;
+
+// Limit of requests that no test waits for.
+constexpr auto LongTimeout = std::chrono::minutes(10);
+
+// Ends a test in which the coroutine that runs it does not.
+constexpr auto TestTimeout = std::chrono::minutes(3);
+
+struct CrowdFixture
+{
+    asio::io_context context{1};
+    GatewaySystemOptions options;
+    std::unique_ptr<GatewaySystem> system;
+
+    // Starts the system and runs the test in a coroutine.
+    void run(const std::function<asio::awaitable<void>()> &test)
+    {
+        system = std::make_unique<GatewaySystem>(
+                context, TREFOIL_CROWD_FOLDER "/" + std::to_string(::getpid()), options);
+        RuntimeTimer timer(context, RuntimeClock::now() + TestTimeout);
+        timer.async_wait([this](const boost::system::error_code &error) {
+            if (error)
+                return;
+            BOOST_ERROR("the test does not end");
+            context.stop();
+        });
+        asio::co_spawn(
+                context,
+                [this, &test]() -> asio::awaitable<void> {
+                    const bool isStarted = co_await system->start();
+                    BOOST_CHECK(isStarted);
+                    if (isStarted)
+                        co_await test();
+                    context.stop();
+                },
+                [](const std::exception_ptr &failure) {
+                    if (failure)
+                        std::rethrow_exception(failure);
+                });
+        context.run();
+    }
+
+    void checkUsage(GatewayNode &node, const PeakUsage &peak) const
+    {
+        BOOST_TEST_CONTEXT(node.role)
+        {
+            BOOST_CHECK(isRunning(node));
+            BOOST_CHECK_LE(peak.memoryBytes, options.memoryMb * MegaByte);
+            BOOST_CHECK_LE(peak.openDescriptors, options.connections);
+        }
+    }
+
+    // Runs one crowd, checks both processes and that the system still serves.
+    asio::awaitable<void> playCrowd(CrowdScript script)
+    {
+        UsageWatch entryWatch(context, system->entry);
+        UsageWatch controlWatch(context, system->control);
+        Crowd crowd(context, std::move(script));
+        co_await crowd.run();
+        const bool isServing = co_await system->serveOneRequest();
+        BOOST_CHECK(isServing);
+        const bool isReadable = co_await system->readConfiguration();
+        BOOST_CHECK(isReadable);
+        checkUsage(system->entry, entryWatch.peak());
+        checkUsage(system->control, controlWatch.peak());
+        crowd.close();
+    }
+
+    void playCallers(std::size_t clients, const std::string &head, const std::string &piece,
+                     std::size_t pieces)
+    {
+        run([&]() -> asio::awaitable<void> {
+            CrowdScript script{
+                    addressOf(system->entry, CallerPort), clients, head, piece, pieces, false};
+            co_await playCrowd(std::move(script));
+        });
+    }
+};
+
+std::string makeHead(std::string_view target, const std::string &fields)
+{
+    return "POST " + std::string(target)
+           + " HTTP/1.1\r\nHost: crowds.example\r\nX-Trefoilrun-Attempt-Id: c\r\n" + fields
+           + "\r\n";
+}
+
+const std::string ChunkedHead = makeHead(OrdinaryTarget, "Transfer-Encoding: chunked\r\n");
+
+std::string repeated(const std::string &text, std::size_t count)
+{
+    std::string result;
+    result.reserve(text.size() * count);
+    for (std::size_t i = 0; i < count; ++i)
+        result += text;
+    return result;
+}
+
+std::string makeChunk(std::size_t size)
+{
+    return toChunk(std::string(size, 'x'));
+}
+
+// The body of each client stays within the limit and short of its end.
+constexpr std::size_t StalledBodyBytes = 3'900'000;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(bodies_in_large_chunks_that_do_not_end_exhaust_the_memory, CrowdFixture)
+{
+    constexpr std::size_t chunkBytes = 60'000;
+    playCallers(80, ChunkedHead, makeChunk(chunkBytes), StalledBodyBytes / chunkBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(bodies_in_very_small_chunks_that_do_not_end_exhaust_the_memory,
+                        CrowdFixture)
+{
+    constexpr std::size_t chunkBytes = 4;
+    constexpr std::size_t chunksPerPiece = 10'000;
+    playCallers(40, ChunkedHead, repeated(makeChunk(chunkBytes), chunksPerPiece),
+                StalledBodyBytes / chunkBytes / chunksPerPiece);
+}
+
+BOOST_FIXTURE_TEST_CASE(bodies_of_announced_length_that_do_not_end_exhaust_the_memory, CrowdFixture)
+{
+    constexpr std::size_t pieceBytes = 50'000;
+    playCallers(80, makeHead(OrdinaryTarget, "Content-Length: 4000000\r\n"),
+                std::string(pieceBytes, 'x'), StalledBodyBytes / pieceBytes);
+}
+
+// Each field of a head takes more memory than its bytes.
+BOOST_FIXTURE_TEST_CASE(heads_of_many_short_fields_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 2000;
+    playCallers(1000, makeHead(OrdinaryTarget, "Content-Length: 10\r\n" + repeated("a:\r\n", 3900)),
+                "x", 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_pipelined_behind_a_running_one_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 1500;
+    const std::string request = makeHead(OrdinaryTarget, "Content-Length: 0\r\n");
+    playCallers(350, makeHead(UnansweredTarget, "Content-Length: 0\r\n"), repeated(request, 100),
+                60);
+}
+
+BOOST_FIXTURE_TEST_CASE(complete_requests_that_wait_for_their_endpoint_exhaust_the_memory,
+                        CrowdFixture)
+{
+    constexpr std::size_t pieceBytes = 50'000;
+    playCallers(80, makeHead(UnansweredTarget, "Content-Length: 4000000\r\n"),
+                std::string(pieceBytes, 'x'), 80);
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_to_callers_that_do_not_read_exhaust_the_memory, CrowdFixture)
+{
+    playCallers(60, makeHead(LargeAnswerTarget, "Content-Length: 0\r\n"), "", 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(small_answers_to_callers_that_do_not_read_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 1500;
+    const std::string request = makeHead("/none", "Content-Length: 0\r\n");
+    playCallers(300, request, repeated(request, 200), 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(more_idle_connections_than_descriptors_keep_callers_out, CrowdFixture)
+{
+    options.idleTimeout = options.headerTimeout = LongTimeout;
+    playCallers(600, "", "", 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(unfinished_heads_on_all_connections_keep_callers_out, CrowdFixture)
+{
+    options.idleTimeout = options.headerTimeout = LongTimeout;
+    playCallers(600, "POST /book/ordinary HTTP/1.1\r\nHost: crowds", "", 0);
+}
+
+// A caller that sends far more than the limit is told so, and what it sends is not kept.
+BOOST_FIXTURE_TEST_CASE(refusal_of_a_body_over_the_limit_does_not_reach_its_caller, CrowdFixture)
+{
+    options.maxBodyBytes = MegaByte;
+    run([&]() -> asio::awaitable<void> {
+        for (const bool isAnnounced : {true, false}) {
+            constexpr std::size_t clients = 20;
+            const std::string head =
+                    isAnnounced ? makeHead(OrdinaryTarget, "Content-Length: 400000000\r\n")
+                                : ChunkedHead;
+            CrowdScript script{addressOf(system->entry, CallerPort),
+                               clients,
+                               head,
+                               makeChunk(60'000),
+                               200,
+                               true};
+            Crowd crowd(context, std::move(script));
+            UsageWatch watch(context, system->entry);
+            co_await crowd.run();
+            BOOST_CHECK_EQUAL(crowd.countAnswers("HTTP/1.1 413 "), clients);
+            const bool isServing = co_await system->serveOneRequest();
+            BOOST_CHECK(isServing);
+            checkUsage(system->entry, watch.peak());
+            crowd.close();
+        }
+    });
+}
+
+struct ListenPort
+{
+    bool isEntry;
+    std::uint16_t port;
+};
+
+std::ostream &operator<<(std::ostream &stream, const ListenPort &listenPort)
+{
+    return stream << (listenPort.isEntry ? "entry" : "control") << " port " << listenPort.port;
+}
+
+const std::vector<ListenPort> HttpPorts = {{true, ReadinessPort},
+                                           {true, MetricsPort},
+                                           {false, ControlPort},
+                                           {false, EntryListPort},
+                                           {false, MetricsPort}};
+
+BOOST_DATA_TEST_CASE_F(CrowdFixture, unfinished_bodies_on_other_ports_exhaust_the_memory,
+                       data::make(HttpPorts), listenPort)
+{
+    run([&]() -> asio::awaitable<void> {
+        const GatewayNode &node = listenPort.isEntry ? system->entry : system->control;
+        CrowdScript script{
+                addressOf(node, listenPort.port), 40, ChunkedHead, makeChunk(60'000), 120, false};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+BOOST_DATA_TEST_CASE_F(CrowdFixture, idle_connections_on_other_ports_take_all_descriptors,
+                       data::make(HttpPorts), listenPort)
+{
+    run([&]() -> asio::awaitable<void> {
+        const GatewayNode &node = listenPort.isEntry ? system->entry : system->control;
+        CrowdScript script{addressOf(node, listenPort.port), 600, "", "", 0, false};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(link_messages_that_do_not_end_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 1000;
+    run([&]() -> asio::awaitable<void> {
+        // The first bytes announce a message of 16 MB.
+        const std::string length("\0\0\0\1", 4);
+        CrowdScript script{addressOf(system->control, InternalPort),
+                           300,
+                           length,
+                           std::string(50'000, 'x'),
+                           40,
+                           false};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(idle_links_take_all_descriptors, CrowdFixture)
+{
+    run([&]() -> asio::awaitable<void> {
+        CrowdScript script{addressOf(system->control, InternalPort), 600, "", "", 0, false};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+// Large answers to many requests at once, of callers that read them.
+BOOST_FIXTURE_TEST_CASE(large_answers_at_once_exhaust_the_memory, CrowdFixture)
+{
+    run([&]() -> asio::awaitable<void> {
+        CrowdScript script{addressOf(system->entry, CallerPort),
+                           80,
+                           makeHead(LargeAnswerTarget, "Content-Length: 0\r\n"),
+                           "",
+                           0,
+                           true};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+// An endpoint sends bytes on connections on which no request waits.
+BOOST_FIXTURE_TEST_CASE(unsolicited_bytes_of_an_endpoint_exhaust_the_memory, CrowdFixture)
+{
+    run([&]() -> asio::awaitable<void> {
+        system->unsolicitedBytes = 2 * MegaByte;
+        CrowdScript script{addressOf(system->entry, CallerPort),
+                           60,
+                           makeHead(OrdinaryTarget, "Content-Length: 0\r\n"),
+                           "",
+                           0,
+                           true};
+        co_await playCrowd(std::move(script));
+    });
+}
+
+} // namespace Trefoil
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -342,9 +342,10 @@
 {
     HttpHead head;
     head.fields = {{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X-Own", "2"}};
-    BOOST_CHECK(isHopByHopField(head, "x-private"));
-    BOOST_CHECK(isHopByHopField(head, "Transfer-Encoding"));
-    BOOST_CHECK(!isHopByHopField(head, "X-Own"));
+    const HopByHopFields fields(head);
+    BOOST_CHECK(fields.contains("x-private"));
+    BOOST_CHECK(fields.contains("Transfer-Encoding"));
+    BOOST_CHECK(!fields.contains("X-Own"));
 }
 
 BOOST_AUTO_TEST_CASE(partial_or_repeated_events_are_forwarded)
