libgateway: chunk headers and trailers have the limit of a head

Callers could send a chunk extension or a trailer without end. The parser waits for the end of such a line, so its bytes stayed in the input until the request was late; only the capacity of the input ended them, and nobody was told why. Now a chunk header or trailer longer than the limit of the head is refused at once with 431.

--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -176,6 +176,10 @@
                 }
             },
             impl_->parser);
+    // Only a chunk header or a trailer that is not complete is left after the head.
+    const bool isPartTooLong = isHeadDone() && !isDone() && input.size() > impl_->maxHeaderBytes;
+    if (isPartTooLong && impl_->error == HttpParseError::None)
+        impl_->error = HttpParseError::HeaderTooLarge;
     if (isHeadDone() && !impl_->isHeadChecked) {
         impl_->isHeadChecked = true;
         if (const std::string *length = findField(head(), "content-length"))
--- a/src/libgateway/httpmessage.h
+++ b/src/libgateway/httpmessage.h
@@ -62,7 +62,8 @@
 // Returns the memory that a head takes.
 std::size_t memoryUse(const HttpHead &head);
 
-// Parses one message incrementally.
+// Parses one message incrementally. Chunk headers with their extensions, and trailers, each have
+// the limit of the head.
 class HttpParser
 {
 public:
--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -150,6 +150,18 @@
                 std::string(pieceBytes, 'x'), StalledBodyBytes / pieceBytes);
 }
 
+BOOST_FIXTURE_TEST_CASE(chunk_extensions_without_end_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 1500;
+    playCallers(700, ChunkedHead + "1;", std::string(10'000, 'e'), 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(trailers_without_end_exhaust_the_memory, CrowdFixture)
+{
+    options.connections = 1500;
+    playCallers(700, ChunkedHead + "1\r\nx\r\n0\r\n", repeated("T: trailer\r\n", 1000), 100);
+}
+
 // Each field of a head takes more memory than its bytes.
 BOOST_FIXTURE_TEST_CASE(heads_of_many_short_fields_exhaust_the_memory, CrowdFixture)
 {
