libgateway: load digests of unknown entries are not kept

An entry kept the loads of each digest by the name in it, for good. Anyone who can send datagrams to its internal port could fill its memory with names. Digests now count only from entries of the roster, which control VMs named.

--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -480,6 +480,8 @@
 
 void EntryProcess::applyDigest(const LoadDigest &digest)
 {
+    if (!state_.roster.lastSeen.contains(digest.entryName))
+        return; // Anyone can send digests, so only known entries take memory.
     PeerLoads &peer = state_.placement.peers[digest.entryName];
     const bool isOutdated =
             digest.processStartMs < peer.process
--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -1,8 +1,12 @@
 #define BOOST_TEST_MODULE crowds
 #include "crowds/crowd.h"
 
+#include "libgateway/linkmessages.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -300,6 +304,33 @@
     });
 }
 
+// Anyone can send load digests, which each entry keeps by the name of their sender.
+BOOST_FIXTURE_TEST_CASE(digests_of_unknown_entries_exhaust_the_memory, CrowdFixture)
+{
+    run([&]() -> asio::awaitable<void> {
+        UsageWatch watch(context, system->entry);
+        asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+        const asio::ip::udp::endpoint target(asio::ip::make_address(system->entry.address),
+                                             InternalPort);
+        for (int number = 0; number < 2000; ++number) {
+            LoadDigest digest;
+            digest.entryName = "unknown-" + std::to_string(number);
+            digest.sequence = 1;
+            for (EndpointHash endpoint = 0; endpoint < 1500; ++endpoint)
+                digest.loads.push_back({endpoint, 1, 1});
+            const std::string bytes = encodeLoadDigest(digest);
+            socket.send_to(asio::buffer(bytes), target);
+            if (number % 4 == 0) {
+                RuntimeTimer pause(context, RuntimeClock::now() + std::chrono::milliseconds(5));
+                co_await pause.async_wait(asio::use_awaitable);
+            }
+        }
+        const bool isServing = co_await system->serveOneRequest();
+        BOOST_CHECK(isServing);
+        checkUsage(system->entry, watch.peak());
+    });
+}
+
 // Large answers to many requests at once, of callers that read them.
 BOOST_FIXTURE_TEST_CASE(large_answers_at_once_exhaust_the_memory, CrowdFixture)
 {
