--- a/src/libgateway/httpmessage.cpp
+++ b/src/libgateway/httpmessage.cpp
@@ -21,6 +21,9 @@
         "trailer",    "upgrade",    "transfer-encoding", "content-length",
 };
 
+// Lower numbers are no statuses.
+constexpr int MinStatus = 100;
+
 // The memory of a body grows by this part of its size at least.
 constexpr std::size_t BodyGrowthDivisor = 4;
 
@@ -58,6 +61,10 @@
 
     void on_response_impl(int status, Text reason, int version, Error &error) override
     {
+        if (status < MinStatus) {
+            error = http::error::bad_status;
+            return;
+        }
         error = {};
         message.status = static_cast<std::uint32_t>(status);
         message.reason = std::string(reason.data(), reason.size());
--- a/tests/test_httpmessage.cpp
+++ b/tests/test_httpmessage.cpp
@@ -97,6 +97,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(status_below_100_counts_as_an_answer)
+{
+    for (const std::string status : {"000", "001", "099"}) {
+        const std::string answer = "HTTP/1.1 " + status + " None\r\nContent-Length: 0\r\n\r\n";
+        BOOST_CHECK(!isWhole(answer, HttpMessageKind::Response));
+        BOOST_CHECK_EQUAL(call(answer).status, 0);
+        BOOST_CHECK(!call(answer).error.empty());
+    }
+}
+
 // Engines that stop inside the head of their answer to an order must not count as having accepted
 // it.
 BOOST_AUTO_TEST_CASE(answer_to_an_order_that_ends_inside_its_head_has_a_status)
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -556,6 +556,58 @@
     BOOST_CHECK(fixture.second.receivedHeads.empty());
 }
 
+// Statuses below 100 do not exist, so such an answer is neither an interim one nor an answer.
+const std::string InvalidStatusAnswer =
+        "HTTP/1.1 000 None\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
+        "Content-Length: 0\r\n\r\n";
+
+BOOST_AUTO_TEST_CASE(request_waits_for_another_answer_after_status_000)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 2);
+    fixture.first.responses = {InvalidStatusAnswer};
+    fixture.second.responses = {makeSuccess("looked up")};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 200"));
+    BOOST_CHECK(!contains(fixture.callerInput, " 000"));
+}
+
+BOOST_AUTO_TEST_CASE(caller_gets_status_000_or_waits_for_its_deadline)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::NonIdempotent, 2);
+    fixture.first.responses = {InvalidStatusAnswer};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 502"));
+    BOOST_CHECK(!contains(fixture.callerInput, " 000"));
+    BOOST_CHECK(fixture.second.receivedHeads.empty());
+}
+
+BOOST_AUTO_TEST_CASE(second_attempt_waits_for_another_answer_after_status_000)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 2);
+    fixture.first.responses = {makeRefusal(NotExecutedField)};
+    fixture.second.responses = {InvalidStatusAnswer};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 502"));
+    BOOST_CHECK(!contains(fixture.callerInput, " 000"));
+}
+
+// A stream that goes on at another endpoint ends visibly incomplete, with nothing of that answer.
+BOOST_AUTO_TEST_CASE(resumed_stream_takes_status_000_as_a_part)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.responses = {makeStreamHead() + toChunk("id: 1\ndata: a\n\n")};
+    fixture.first.closesAfterResponse = true;
+    fixture.second.responses = {InvalidStatusAnswer};
+    fixture.exchange(makeRequest(KeyField, ""), "");
+    BOOST_CHECK(contains(fixture.callerInput, "id: 1"));
+    BOOST_CHECK(!contains(fixture.callerInput, " 000"));
+    BOOST_CHECK(!contains(fixture.callerInput, "\r\n0\r\n\r\n"));
+}
+
 // The first endpoint ends within the second event. The stream must resume after the first event,
 // without a gap or a duplicate.
 BOOST_AUTO_TEST_CASE(stream_resumes_at_another_endpoint_after_its_last_complete_event)
