soak: clients that break the limits, and a bound of the memory

Crowds of up to 60 clients send unfinished bodies in large and very small chunks, bodies over the limit, chunk extensions and heads without end to a random entry or control VM beside the other faults. Each process must stay within 96 MB, and all other checks hold for the ordinary callers.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -402,6 +402,7 @@
     asio::co_spawn(soak.context, runRejections(soak), asio::detached);
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
+    asio::co_spawn(soak.context, runMisbehavingClients(soak, until), asio::detached);
     ActiveFaults active;
     active.count += 3;
     asio::co_spawn(soak.context, runPlannedWork(soak, active, until), asio::detached);
--- a/tests/soak/processes.cpp
+++ b/tests/soak/processes.cpp
@@ -61,7 +61,8 @@
     else
         file << "  callers: " << quoted(addressOf(node, CallerPort))
              << "\n  readiness: " << quoted(addressOf(node, ReadinessPort)) << "\n";
-    file << "limits:\n  connections: 1000\n  tolerated_losses: 1\n  heartbeat: 1s\n"
+    file << "limits:\n  connections: 1000\n  memory: " << MemoryMb
+         << "\n  tolerated_losses: 1\n  heartbeat: 1s\n"
          << "  stop_bound: " << StopTimeout.count() << "s\n"
          << "  entry_list_lifetime: 2s\n  retry_ratio: " << RetryRatio
          << "\n  retry_window: " << std::chrono::seconds(RetryWindow).count()
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -31,6 +31,7 @@
 {
     while (!soak.isOver) {
         reportUnexpectedExits(soak);
+        checkMemory(soak);
         co_await sleepFor(ProcessCheckInterval);
     }
 }
@@ -73,9 +74,9 @@
               << " configurations, " << soak.engineEnds.size() << " engines ended by requests, "
               << soak.lateEndingRequests << " late ones, " << repeats << " repeats, "
               << limitedArrivals << " requests at limited endpoints, " << counts.departures
-              << " departures, " << counts.plannedWork
-              << " planned stops and reloads of entries with " << counts.duringPlannedWork
-              << " requests" << std::endl;
+              << " departures, " << counts.misbehavingClients << " misbehaving clients, "
+              << counts.plannedWork << " planned stops and reloads of entries with "
+              << counts.duringPlannedWork << " requests" << std::endl;
     for (const auto &[what, count] : counts.failures)
         std::cout << "    " << count << " " << what << std::endl;
 }
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -160,6 +160,7 @@
 
     std::uint64_t publishedConfigurations = 0;
     std::uint64_t faults = 0;
+    std::uint64_t misbehavingClients = 0;
     std::uint64_t departures = 0;
     std::uint64_t plannedWork = 0; // on entries
 
@@ -246,6 +247,9 @@
 constexpr std::uint16_t MetricsPort = 7005;
 constexpr std::uint16_t EndpointPort = 8000;
 
+// Memory that the settings allow each process.
+constexpr std::size_t MemoryMb = 96;
+
 // Writes the settings of the node and starts its process.
 void startNode(SoakState &soak, SoakNode &node);
 // Sends the signal to the process, which counts as a fault.
@@ -257,6 +261,12 @@
 // Stops all processes with SIGTERM, waits until they exit and checks their exit status.
 boost::asio::awaitable<void> stopNodes(SoakState &soak);
 
+// Lets crowds of clients break the limits of requests until the given time.
+boost::asio::awaitable<void> runMisbehavingClients(SoakState &soak, TimePoint until);
+
+// Reports a violation for each process that uses more memory than its settings allow.
+void checkMemory(SoakState &soak);
+
 // Injects random, overlapping faults for the configured duration and waits until all have ended.
 boost::asio::awaitable<void> injectFaults(SoakState &soak);
 
