libfleet, libgateway: opened connections have a maximum, and links fixed buffers

Two gaps of the memory budget, found while reading it. The connections that an entry opens had no maximum: running requests and idle connections to endpoints together could take the descriptors that accepted ones need. They now have the rest of the descriptors, and idle ones make room. Links enlarged the kernel's buffers for each large configuration and never gave them back: at 350 entries that would have been 180 MB of 128. They keep 32 KB in each direction. At the maximum, a thirty-second of the places is freed at once, so that a flood of connections does not search all of them for each.

Evidence: cases of test_memorybudget; the case of test_crowds for one request of exactly the largest size, by length and in chunks, passes.

--- a/src/libfleet/memorybudget.cpp
+++ b/src/libfleet/memorybudget.cpp
@@ -1,7 +1,6 @@
 #include "libfleet/memorybudget.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace Trefoil {
 
@@ -10,6 +9,9 @@
 // An eviction frees at least this part of the budget, so that the search for holders is rare.
 constexpr std::size_t EvictionDivisor = 16;
 
+// When all places for connections are taken, this part of them is freed.
+constexpr std::size_t PlacesDivisor = 32;
+
 // Part of the budget that requests may use when they begin to run.
 constexpr double RunningShare = 0.625;
 
@@ -106,20 +108,35 @@
     return static_cast<std::size_t>(MaxRunningShare * static_cast<double>(budget.maxBytes));
 }
 
-// Removes the accepted holder that gives up its memory first, unless all of them run.
-std::vector<MemoryHolderId> evictAccepted(MemoryBudget &budget, TimePoint now)
+std::size_t &connectionCount(MemoryBudget &budget, bool isAccepted)
+{
+    return isAccepted ? budget.acceptedCount : budget.openedCount;
+}
+
+std::size_t maxConnections(const MemoryBudget &budget, bool isAccepted)
+{
+    return isAccepted ? budget.maxAccepted : budget.maxOpened;
+}
+
+// Evicts the first connections of a kind that give up their memory and do not run, so that there is
+// place for others.
+std::vector<MemoryHolderId> evictConnections(MemoryBudget &budget, bool isAccepted, TimePoint now)
 {
-    std::optional<Candidate> first;
+    std::vector<Candidate> candidates;
     for (const auto &[id, holder] : budget.holders) {
-        const Candidate candidate = makeCandidate(id, holder, holder.bytes, now);
-        const bool mayLeave = holder.isAccepted && !candidate.isRunning;
-        if (mayLeave && (!first || givesUpBefore(candidate, *first)))
-            first = candidate;
+        if (holder.isAccepted == isAccepted && holder.use != MemoryUse::Running)
+            candidates.push_back(makeCandidate(id, holder, holder.bytes, now));
     }
-    if (!first)
-        return {};
-    removeHolder(budget, first->id);
-    return {first->id};
+    const std::size_t count =
+            std::min(candidates.size(), 1 + maxConnections(budget, isAccepted) / PlacesDivisor);
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                      candidates.end(), givesUpBefore);
+    std::vector<MemoryHolderId> evicted;
+    for (std::size_t i = 0; i < count; ++i) {
+        removeHolder(budget, candidates[i].id);
+        evicted.push_back(candidates[i].id);
+    }
+    return evicted;
 }
 
 } // namespace
@@ -127,14 +144,14 @@
 MemoryAdmission addHolder(MemoryBudget &budget, std::size_t bytes, bool isAccepted, TimePoint now)
 {
     MemoryAdmission admission;
-    if (isAccepted && budget.acceptedCount >= budget.maxAccepted) {
-        admission.evicted = evictAccepted(budget, now);
+    if (connectionCount(budget, isAccepted) >= maxConnections(budget, isAccepted)) {
+        admission.evicted = evictConnections(budget, isAccepted, now);
         if (admission.evicted.empty())
             return admission;
     }
     const MemoryHolderId id = budget.nextId++;
     budget.holders[id] = {MemoryUse::Arriving, 0, now, isAccepted};
-    budget.acceptedCount += isAccepted ? 1 : 0;
+    ++connectionCount(budget, isAccepted);
     const MemoryDecision decision = resizeHolder(budget, id, bytes, now);
     admission.evicted.insert(admission.evicted.end(), decision.evicted.begin(),
                              decision.evicted.end());
@@ -201,7 +218,7 @@
     if (found == budget.holders.end())
         return;
     setBytes(budget, found->second, 0);
-    budget.acceptedCount -= found->second.isAccepted ? 1 : 0;
+    --connectionCount(budget, found->second.isAccepted);
     budget.holders.erase(found);
 }
 
--- a/src/libfleet/memorybudget.h
+++ b/src/libfleet/memorybudget.h
@@ -34,18 +34,22 @@
     // Time since which it makes this use of its memory.
     TimePoint since{};
 
-    // Whether it counts for the maximum number of accepted connections.
+    // Whether a peer opened the connection, or this process.
     bool isAccepted = false;
 };
 
 struct MemoryBudget
 {
     std::size_t maxBytes = 0;
+
+    // Numbers of connections that peers and this process may open.
     std::size_t maxAccepted = 0;
+    std::size_t maxOpened = 0;
 
     std::size_t usedBytes = 0;
     std::size_t runningBytes = 0;
     std::size_t acceptedCount = 0;
+    std::size_t openedCount = 0;
     MemoryHolderId nextId = 1;
     std::map<MemoryHolderId, MemoryHolder> holders;
 };
@@ -65,8 +69,9 @@
     std::vector<MemoryHolderId> evicted;
 };
 
-// Adds a connection. At the maximum number of accepted connections, an accepted one takes the place
-// of the idle or unfinished one that has used the most memory for the longest time.
+// Adds a connection. At the maximum number of its kind, it takes the place of one of this kind that
+// is idle or unfinished and has used the most memory for the longest time. A few more of these are
+// evicted with it, so that the search for them is rare.
 MemoryAdmission addHolder(MemoryBudget &budget, std::size_t bytes, bool isAccepted, TimePoint now);
 
 // Changes the memory of a holder. When the sum is used up, holders give theirs up: first those
--- a/src/libgateway/channel.cpp
+++ b/src/libgateway/channel.cpp
@@ -136,7 +136,7 @@
 
 void Channel::extendBuffers()
 {
-    if (isExtended_ || isEnded_ || kernelBufferBytes_ == 0
+    if (isExtended_ || isEnded_ || isProtected_ || kernelBufferBytes_ == 0
         || kernelBufferBytes_ >= ExtendedBufferBytes)
         return;
     extraKernelBytes_ += kernelMemory(ExtendedBufferBytes - kernelBufferBytes_);
--- a/src/libgateway/gatewaysettings.cpp
+++ b/src/libgateway/gatewaysettings.cpp
@@ -50,7 +50,7 @@
 {
     return {
             {"connections", count(settings.maxConnections, 64, 10'000'000)},
-            {"memory", count(settings.memoryMb, 64, 1'000'000)},
+            {"memory", count(settings.memoryMb, 32, 1'000'000)},
             {"tolerated_losses", count(settings.toleratedLosses, 0, 3)},
             {"heartbeat", duration(settings.heartbeatInterval, 20 * Millisecond, 60 * Second)},
             {"stop_bound", duration(settings.maxStopTime, 100 * Millisecond, Hour)},
--- a/src/libgateway/link.cpp
+++ b/src/libgateway/link.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t LengthBytes = 4;
 // Size of the kernel's buffers of a link.
-constexpr std::size_t LinkBufferBytes = 64 * 1024;
+constexpr std::size_t LinkBufferBytes = 32 * 1024;
 
 // A peer that does not read is disconnected when this many bytes wait for it.
 constexpr std::size_t MaxSendBufferBytes = 48 * 1024 * 1024;
--- a/src/libgateway/memoryledger.cpp
+++ b/src/libgateway/memoryledger.cpp
@@ -75,10 +75,11 @@
     ledger_ = nullptr;
 }
 
-MemoryLedger::MemoryLedger(std::size_t maxBytes, std::size_t maxAccepted)
+MemoryLedger::MemoryLedger(std::size_t maxBytes, std::size_t maxAccepted, std::size_t maxOpened)
 {
     budget_.maxBytes = maxBytes;
     budget_.maxAccepted = maxAccepted;
+    budget_.maxOpened = maxOpened;
 }
 
 std::optional<MemoryLease> MemoryLedger::admit(bool isAccepted, EvictionHandler onEvicted)
@@ -141,9 +142,10 @@
 {
     const std::size_t descriptors =
             std::max(settings.maxConnections, ReservedDescriptors + 16) - ReservedDescriptors;
-    return std::make_shared<MemoryLedger>(
-            settings.memoryMb * BytesPerMegaByte / BufferShareDivisor,
-            static_cast<std::size_t>(AcceptedShare * static_cast<double>(descriptors)));
+    const auto accepted =
+            static_cast<std::size_t>(AcceptedShare * static_cast<double>(descriptors));
+    return std::make_shared<MemoryLedger>(settings.memoryMb * BytesPerMegaByte / BufferShareDivisor,
+                                          accepted, descriptors - accepted);
 }
 
 } // namespace Trefoil
--- a/src/libgateway/memoryledger.h
+++ b/src/libgateway/memoryledger.h
@@ -51,7 +51,7 @@
 public:
     using EvictionHandler = std::function<void()>;
 
-    MemoryLedger(std::size_t maxBytes, std::size_t maxAccepted);
+    MemoryLedger(std::size_t maxBytes, std::size_t maxAccepted, std::size_t maxOpened);
 
     // Adds a connection, whose handler is called when it is evicted. Returns nothing when it is
     // refused.
--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -214,6 +214,28 @@
     playCallers(600, "POST /book/ordinary HTTP/1.1\r\nHost: crowds", "", 0);
 }
 
+// One request of the largest body that the limits allow is served, however it is framed.
+BOOST_FIXTURE_TEST_CASE(single_request_of_the_largest_size_is_refused, CrowdFixture)
+{
+    run([&]() -> asio::awaitable<void> {
+        constexpr std::size_t chunkBytes = 64 * 1024;
+        const std::size_t chunks = options.maxBodyBytes / chunkBytes;
+        const std::string length = std::to_string(options.maxBodyBytes);
+        const std::string heads[] = {
+                makeHead(OrdinaryTarget, "Content-Length: " + length + "\r\n")
+                        + std::string(options.maxBodyBytes, 'x'),
+                ChunkedHead + repeated(makeChunk(chunkBytes), chunks) + "0\r\n\r\n",
+        };
+        for (const std::string &head : heads) {
+            CrowdScript script{addressOf(system->entry, CallerPort), 1, head, "", 0, true};
+            Crowd crowd(context, std::move(script));
+            co_await crowd.run();
+            BOOST_CHECK_EQUAL(crowd.countAnswers("HTTP/1.1 200 "), 1);
+            crowd.close();
+        }
+    });
+}
+
 // A caller that sends far more than the limit is told so, and what it sends is not kept.
 BOOST_FIXTURE_TEST_CASE(refusal_of_a_body_over_the_limit_does_not_reach_its_caller, CrowdFixture)
 {
--- a/tests/test_memorybudget.cpp
+++ b/tests/test_memorybudget.cpp
@@ -25,6 +25,7 @@
     MemoryBudget budget;
     budget.maxBytes = 48 * MegaByte;
     budget.maxAccepted = 100;
+    budget.maxOpened = 100;
     return budget;
 }
 
@@ -166,10 +167,24 @@
     BOOST_CHECK_NE(admission.id, 0);
     BOOST_CHECK(admission.evicted == std::vector<MemoryHolderId>{oldest});
     BOOST_CHECK(budget.holders.contains(newer));
-    // A connection that the process opens itself needs no place.
+    // A connection that the process opens itself takes no place of these.
     BOOST_CHECK_NE(addHolder(budget, SmallBytes, false, Start).id, 0);
 }
 
+// Connections to endpoints that no request uses make room for new ones.
+BOOST_AUTO_TEST_CASE(idle_opened_connections_keep_a_new_one_out)
+{
+    MemoryBudget budget = makeBudget();
+    budget.maxOpened = 64;
+    for (int i = 0; i < 64; ++i)
+        addHolder(budget, SmallBytes, false, Start + milliseconds(i));
+    const auto accepted = addHolder(budget, SmallBytes, true, Start).id;
+    const MemoryAdmission admission = addHolder(budget, SmallBytes, false, Start + seconds(1));
+    BOOST_CHECK_NE(admission.id, 0);
+    BOOST_CHECK_EQUAL(admission.evicted.size(), 3);
+    BOOST_CHECK(budget.holders.contains(accepted));
+}
+
 BOOST_AUTO_TEST_CASE(new_connection_displaces_a_running_request)
 {
     MemoryBudget budget = makeBudget();
@@ -218,16 +233,20 @@
             std::size_t used = 0;
             std::size_t running = 0;
             std::size_t accepted = 0;
+            std::size_t opened = 0;
             for (const auto &[holderId, holder] : budget.holders) {
                 used += holder.bytes;
                 running += holder.use == MemoryUse::Running ? holder.bytes : 0;
                 accepted += holder.isAccepted ? 1 : 0;
+                opened += holder.isAccepted ? 0 : 1;
             }
             RC_ASSERT(used == budget.usedBytes);
             RC_ASSERT(running == budget.runningBytes);
             RC_ASSERT(accepted == budget.acceptedCount);
             RC_ASSERT(used <= budget.maxBytes);
             RC_ASSERT(accepted <= budget.maxAccepted);
+            RC_ASSERT(opened == budget.openedCount);
+            RC_ASSERT(opened <= budget.maxOpened);
         }
     });
     BOOST_CHECK(holds);
