libfleet: small requests run while large ones must wait

What callers saw: with 350 requests in progress that an endpoint did not answer, an entry of 96 MB refused all further ones (503), as it would refuse a large one. The share of running requests was full of small ones. Requests of up to 64 KB with their connection may now use the share that answers have as well.

The new case of test_memorybudget failed before by the arithmetic (it was not run there).

In the same run large_answers_at_once failed too: the endpoint of the test shared a thread with 80 clients and its connections timed out, so the entry gave it a rest. It has a thread of its own now; crowd and bounds are as before. The read buffer of channels is thread-local for that.

--- a/src/libfleet/memorybudget.cpp
+++ b/src/libfleet/memorybudget.cpp
@@ -15,6 +15,9 @@
 // Part of the budget that requests may use when they begin to run.
 constexpr double RunningShare = 0.625;
 
+// Requests up to this size may use that of answers as well.
+constexpr std::size_t SmallRequestBytes = 64 * 1024;
+
 // Part of the budget that running requests may use with their answers.
 constexpr double MaxRunningShare = 0.875;
 
@@ -204,9 +207,13 @@
     const auto found = budget.holders.find(id);
     if (found == budget.holders.end())
         return false;
+    const std::size_t bytes = found->second.bytes;
     const double share = RunningShare * static_cast<double>(budget.maxBytes);
     const double remaining = share - static_cast<double>(budget.runningBytes);
-    if (static_cast<double>(found->second.bytes) > RunningFraction * remaining)
+    const bool isSmall = bytes <= SmallRequestBytes;
+    const bool fits = static_cast<double>(bytes) <= RunningFraction * remaining
+                      || (isSmall && budget.runningBytes + bytes <= maxRunningBytes(budget));
+    if (!fits)
         return false;
     setUse(budget, id, MemoryUse::Running, now);
     return true;
--- a/src/libgateway/channel.cpp
+++ b/src/libgateway/channel.cpp
@@ -203,7 +203,7 @@
 
 void Channel::readInput()
 {
-    static std::array<char, ReadBufferBytes> bytes;
+    static thread_local std::array<char, ReadBufferBytes> bytes;
     error_code error;
     const std::size_t room = inputCapacity_ - std::min(inputCapacity_, input_.size());
     const std::size_t count = socket_.read_some(
--- a/tests/crowds/gatewaysystem.cpp
+++ b/tests/crowds/gatewaysystem.cpp
@@ -154,14 +154,13 @@
     control.address = ControlAddress;
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
-    endpointListener_ = std::make_unique<ChannelListener>(
-            context_, EndpointAddress, InputCapacity, [this](ChannelPointer channel) {
-                asio::co_spawn(context_, serveEndpoint(std::move(channel)), asio::detached);
-            });
 }
 
 GatewaySystem::~GatewaySystem()
 {
+    endpointContext_.stop();
+    if (endpointThread_.joinable())
+        endpointThread_.join();
     for (GatewayNode *node : {&entry, &control}) {
         if (!isRunning(*node))
             continue;
@@ -201,6 +200,11 @@
 
 asio::awaitable<bool> GatewaySystem::start()
 {
+    endpointListener_ = std::make_unique<ChannelListener>(
+            endpointContext_, EndpointAddress, InputCapacity, [this](ChannelPointer channel) {
+                asio::co_spawn(endpointContext_, serveEndpoint(std::move(channel)), asio::detached);
+            });
+    endpointThread_ = std::thread([this] { endpointContext_.run(); });
     startNode(control);
     startNode(entry);
     const bool isPublished = co_await publishConfiguration();
--- a/tests/crowds/gatewaysystem.h
+++ b/tests/crowds/gatewaysystem.h
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 
 // A system of one control VM and one entry, run as real processes on loopback addresses, with a
 // plain endpoint that the test plays.
@@ -82,7 +83,8 @@
     // Ends the processes.
     ~GatewaySystem();
 
-    // Starts the processes and waits until the entry serves. Returns false when it does not.
+    // Starts the endpoint and the processes and waits until the entry serves. Returns false when it
+    // does not.
     boost::asio::awaitable<bool> start();
 
     // Sends ordinary requests until one is answered, as a caller does that was refused. Returns
@@ -105,6 +107,11 @@
     boost::asio::awaitable<void> serveEndpoint(ChannelPointer channel);
 
     boost::asio::io_context &context_;
+
+    // The endpoint runs on a thread of its own, so that the clients do not slow it down.
+    boost::asio::io_context endpointContext_{1};
+    std::thread endpointThread_;
+
     std::string folder_;
     GatewaySystemOptions options_;
     std::unique_ptr<ChannelListener> endpointListener_;
--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -37,6 +37,7 @@
 {
     asio::io_context context{1};
     GatewaySystemOptions options;
+    std::size_t unsolicitedBytes = 0;
     std::unique_ptr<GatewaySystem> system;
 
     // Starts the system and runs the test in a coroutine.
@@ -44,6 +45,7 @@
     {
         system = std::make_unique<GatewaySystem>(
                 context, TREFOIL_CROWD_FOLDER "/" + std::to_string(::getpid()), options);
+        system->unsolicitedBytes = unsolicitedBytes;
         RuntimeTimer timer(context, RuntimeClock::now() + TestTimeout);
         timer.async_wait([this](const boost::system::error_code &error) {
             if (error)
@@ -370,8 +372,8 @@
 // An endpoint sends bytes on connections on which no request waits.
 BOOST_FIXTURE_TEST_CASE(unsolicited_bytes_of_an_endpoint_exhaust_the_memory, CrowdFixture)
 {
+    unsolicitedBytes = 2 * MegaByte;
     run([&]() -> asio::awaitable<void> {
-        system->unsolicitedBytes = 2 * MegaByte;
         CrowdScript script{addressOf(system->entry, CallerPort),
                            60,
                            makeHead(OrdinaryTarget, "Content-Length: 0\r\n"),
--- a/tests/test_memorybudget.cpp
+++ b/tests/test_memorybudget.cpp
@@ -123,6 +123,17 @@
     }
 }
 
+// Small requests use memory that large ones must leave to answers.
+BOOST_AUTO_TEST_CASE(small_requests_have_the_share_of_large_ones)
+{
+    MemoryBudget budget = makeBudget();
+    budget.maxAccepted = 1000;
+    std::size_t running = 0;
+    for (int i = 0; i < 800; ++i)
+        running += tryRun(budget, addHolder(budget, SmallBytes, true, Start).id, Start) ? 1 : 0;
+    BOOST_CHECK_EQUAL(running, 7 * budget.maxBytes / 8 / SmallBytes);
+}
+
 // Answers fill the memory of running requests. The largest of them gives way to a small one, and a
 // new connection still finds memory.
 BOOST_AUTO_TEST_CASE(large_answers_keep_small_ones_and_new_connections_out)
