--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -372,10 +372,11 @@
 // An endpoint sends bytes on connections on which no request waits.
 BOOST_FIXTURE_TEST_CASE(unsolicited_bytes_of_an_endpoint_exhaust_the_memory, CrowdFixture)
 {
+    options.connections = 1500;
     unsolicitedBytes = 2 * MegaByte;
     run([&]() -> asio::awaitable<void> {
         CrowdScript script{addressOf(system->entry, CallerPort),
-                           60,
+                           400,
                            makeHead(OrdinaryTarget, "Content-Length: 0\r\n"),
                            "",
                            0,
