--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -55,6 +55,7 @@
 bool differs(EndpointReport a, const EndpointReport &b)
 {
     a.sequence = b.sequence;
+    a.lacksEngineState = b.lacksEngineState;
     return a != b;
 }
 
@@ -120,9 +121,16 @@
 
 } // namespace
 
+bool isUnusable(const EndpointTable &table, const EndpointReport &report)
+{
+    return report.lacksEngineState && table.engineServices.contains(report.service);
+}
+
 ReportOutcome applyReport(EndpointTable &table, const EndpointReport &report, Duration age,
                           TimePoint now)
 {
+    if (isUnusable(table, report))
+        return ReportOutcome::Unusable;
     if (!isConfigured(table, report))
         return applyUnconfigured(table, report, age, now);
     if (report.isDraining)
@@ -218,8 +226,13 @@
 void setServices(EndpointTable &table, const ServiceConfiguration &config, TimePoint now)
 {
     table.services.emplace();
-    for (const Service &service : config.services)
+    for (const Service &service : config.services) {
         table.services->insert(service.name);
+        if (service.engine)
+            table.engineServices.insert(service.name);
+        else
+            table.engineServices.erase(service.name);
+    }
     std::vector<Endpoint> named;
     std::erase_if(table.unconfigured, [&](const auto &item) {
         const bool isNamed = table.services->contains(item.first.second);
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -32,6 +32,9 @@
     std::uint64_t sequence = 0;    // grows with each report of an incarnation
     std::vector<std::string> stagedModels;
     std::optional<GroupMembership> membership;
+    // Set when nothing in the report speaks of models, as in reports of plain services. In the name
+    // of an engine, another program has written it. Only known where the report arrives.
+    bool lacksEngineState = false;
 
     bool operator==(const EndpointReport &) const = default;
 };
@@ -60,6 +63,9 @@
     // Names of the configured services. Without a value, all services count as configured.
     std::optional<std::set<std::string>> services;
 
+    // Names of those whose endpoints are engines.
+    std::set<std::string> engineServices;
+
     DepartureTable departures;
 };
 
@@ -68,10 +74,15 @@
 
 enum class ReportOutcome : std::uint8_t {
     Stale,     // older than the known report
+    Unusable,  // lacks the state of an engine
     Refreshed, // only the sequence number changed
     Changed,
 };
 
+// Returns true when the report of an engine says nothing of its models and group. It must not count
+// as the report of an engine that is in no group.
+bool isUnusable(const EndpointTable &table, const EndpointReport &report);
+
 // Applies a report that was made `age` ago. Marks endpoints with an earlier start at the same
 // address as replaced. A report of an endpoint that drains announces its departure.
 ReportOutcome applyReport(EndpointTable &table, const EndpointReport &report, Duration age,
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t MaxDeparturesPerProposal = 1000;
 constexpr std::size_t MaxEndpointIdBytes = 256;
 
+constexpr const char *IncompleteEngineReport = "the report of an engine has no 'models'";
 constexpr const char *UnconfirmedDeparture = "the departure could not be confirmed";
 
 std::uint32_t toMilliseconds(Duration duration)
@@ -81,6 +82,12 @@
         co_return makeErrorResponse(400, *error);
     }
     const auto &report = std::get<EndpointReport>(decoded);
+    handlers_.refreshConfiguration();
+    if (isUnusable(table_, report)) {
+        logEvent(Event::EndpointReportInvalid,
+                 {{"endpoint", endpoint}, {"error", IncompleteEngineReport}});
+        co_return makeErrorResponse(400, IncompleteEngineReport);
+    }
     const bool isAccepted = applyHeartbeat(report);
     if (isAccepted && report.isDraining) {
         const bool isConfirmed = co_await confirmDeparture(report.id, report.startedAtMs);
@@ -96,7 +103,6 @@
 // VM or an entry may learn later that the service was added.
 bool EndpointReports::applyHeartbeat(const EndpointReport &report)
 {
-    handlers_.refreshConfiguration();
     const Endpoint *configured = findEndpoint(table_, report.id);
     const bool isForeign = configured && configured->report.service != report.service
                            && !table_.services->contains(report.service);
--- a/tests/test_addedservices.cpp
+++ b/tests/test_addedservices.cpp
@@ -165,4 +165,56 @@
     BOOST_CHECK(isInUse(later, "e1", Start));
 }
 
+// Another program reports in the name of an engine and says nothing of models and group. That must
+// not count as an engine without a group.
+BOOST_AUTO_TEST_CASE(a_report_of_an_engine_without_models_is_used)
+{
+    ServiceConfiguration config = makeConfiguration({"tray-api", "drafts"});
+    config.services[1].engine.emplace();
+    boost::asio::io_context context;
+    EndpointReports *reports = nullptr;
+    EndpointReports::Handlers handlers;
+    handlers.refreshConfiguration = [&] { setServices(reports->table(), config, Start); };
+    handlers.reportAddress = [] { return std::string(); };
+    handlers.propose = [](const RecordDepartures &, const auto &) { return false; };
+    handlers.broadcast = [](const LinkMessage &) {};
+    handlers.onChanged = [] {};
+    handlers.onChangeSent = [] {};
+    EndpointReports control(context, *findDialect("platform"), std::move(handlers));
+    reports = &control;
+    const auto report = [&](const std::string &service, int sequence, const std::string &more) {
+        const std::string body = R"({"service":")" + service + R"(","address":"10.0.0.1:80",)"
+                                 + R"("slots":6,"state":"ready","sequence":)"
+                                 + std::to_string(sequence) + R"(,"born":5)" + more + "}";
+        std::uint32_t status = 0;
+        boost::asio::co_spawn(context, control.handleHeartbeat("e-" + service, body),
+                              [&status](const std::exception_ptr &, const ServerResponse &answer) {
+                                  status = answer.status;
+                              });
+        context.restart();
+        context.run_for(milliseconds(20));
+        return status;
+    };
+    const std::string engine = R"(,"models":[],"group":{"name":"g","epoch":1,"rank":0,)"
+                               R"("state":"open"})";
+    BOOST_CHECK_EQUAL(report("drafts", 1, engine), 200);
+    BOOST_CHECK_EQUAL(report("drafts", 2, ""), 400);
+    BOOST_REQUIRE(findEndpoint(control.table(), "e-drafts"));
+    BOOST_CHECK(findEndpoint(control.table(), "e-drafts")->report.membership);
+    BOOST_CHECK_EQUAL(report("drafts", 2, engine), 200);
+    // Plain services have no models.
+    BOOST_CHECK_EQUAL(report("tray-api", 1, ""), 200);
+    // The service is known to have engines while the configuration leaves it out.
+    config = makeConfiguration({"tray-api"});
+    BOOST_CHECK_EQUAL(report("drafts", 3, ""), 400);
+    // The draining state of such a report does not count either.
+    const std::string draining = R"({"service":"drafts","address":"10.0.0.1:80","slots":6,)"
+                                 R"("state":"draining","sequence":9,"born":5})";
+    boost::asio::co_spawn(context, control.handleHeartbeat("e-drafts", draining),
+                          boost::asio::detached);
+    context.restart();
+    context.run_for(milliseconds(20));
+    BOOST_CHECK(!findEndpoint(control.table(), "e-drafts")->isLeaving);
+}
+
 } // namespace Trefoil
