--- a/src/libfleet/groupadoption.cpp
+++ b/src/libfleet/groupadoption.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/groupplanning.h"
+#include "libfleet/groupevidence.h"
 
 #include <algorithm>
 #include <map>
@@ -18,15 +18,6 @@
     MembershipPhase headPhase = MembershipPhase::Joining;
 };
 
-// Returns true when a group of the planner contains the endpoint.
-bool isInPlannedGroup(const GroupPlanner &planner, const EndpointId &id)
-{
-    return std::any_of(planner.groups.begin(), planner.groups.end(), [&id](const auto &item) {
-        const auto &members = item.second.members;
-        return std::find(members.begin(), members.end(), id) != members.end();
-    });
-}
-
 // Returns true when the log tells that a group that it does not contain has ended.
 bool hasEndedByLog(const PlanningStep &step, const ReportedGroup &reported)
 {
@@ -79,7 +70,7 @@
         const auto group = step.planner.groups.find(membership->group);
         if (group == step.planner.groups.end())
             continue;
-        if (isInPlannedGroup(step.planner, id) || group->second.leftMembers.contains(id))
+        if (isInPlannedGroup(step.planner, id) || proveMemberExit(step, group->second, id))
             continue;
         group->second.members.push_back(id);
         group->second.startedAtMs[id] = endpoint.report.startedAtMs;
@@ -89,25 +80,25 @@
 }
 
 // Continues with a group of an earlier leader that all its members report, according to the phase
-// of its head. Returns true when the group has ended.
-bool continueGroup(PlanningStep &step, FleetGroup &group, MembershipPhase headPhase)
+// of its head.
+void continueGroup(PlanningStep &step, FleetGroup &group, MembershipPhase headPhase)
 {
     switch (headPhase) {
     case MembershipPhase::Joining:
     case MembershipPhase::Ready:
         if (group.state != GroupState::Forming)
             setState(group, GroupState::Forming, step.now);
-        return false;
+        break;
     case MembershipPhase::Open:
         setState(group, GroupState::Open, step.now);
-        return false;
+        break;
     case MembershipPhase::Closing:
         closeGroup(group, "an earlier leader closed it", CloseMode::FinishRequests, step.now);
-        return false;
+        break;
     case MembershipPhase::Broken:
+        closeGroup(group, "it is broken", CloseMode::AbortRequests, step.now);
         break;
     }
-    return true;
 }
 
 // Returns a member that certainly is or will be lost, if any. A silent member may not have reported
@@ -147,13 +138,21 @@
 
 } // namespace
 
+bool isInPlannedGroup(const GroupPlanner &planner, const EndpointId &id)
+{
+    return std::any_of(planner.groups.begin(), planner.groups.end(), [&id](const auto &item) {
+        const auto &members = item.second.members;
+        return std::find(members.begin(), members.end(), id) != members.end();
+    });
+}
+
 bool isUnheard(const PlanningStep &step, const FleetGroup &group)
 {
     return group.state == GroupState::Inherited && !isAnyMemberLive(step, group)
            && step.now >= step.planner.leadsSince + step.planner.options.lossTimeout;
 }
 
-bool continueReportedGroup(PlanningStep &step, FleetGroup &group, bool &hasEnded)
+bool continueReportedGroup(PlanningStep &step, FleetGroup &group)
 {
     const bool isReported =
             std::all_of(group.members.begin(), group.members.end(), [&](const EndpointId &id) {
@@ -163,31 +162,27 @@
     if (!isReported)
         return false;
     const Endpoint &head = *step.findLive(group.members.front());
-    hasEnded = continueGroup(step, group, head.report.membership->phase);
+    continueGroup(step, group, head.report.membership->phase);
     return true;
 }
 
-bool advanceInherited(PlanningStep &step, FleetGroup &group, const EngineProfile &engine)
+void advanceInherited(PlanningStep &step, FleetGroup &group, const EngineProfile &engine)
 {
     const ModelProfile *model = findModel(engine, group.model);
     const bool isComplete = model && (group.isWarmUp || group.members.size() == model->vmsPerGroup);
     if (const auto lost = findLostMember(step, group)) {
         startClosing(step, group, *lost);
-        return false;
+        return;
     }
     if (!isComplete) {
         closeGroup(group, "it is incomplete", CloseMode::AbortRequests, step.now);
-        return false;
+        return;
     }
-    if (isUnheard(step, group))
-        return step.now - group.stateSince > step.planner.options.unknownHeadRetention;
-    bool hasEnded = false;
-    if (continueReportedGroup(step, group, hasEnded))
-        return hasEnded;
+    if (isUnheard(step, group) || continueReportedGroup(step, group))
+        return;
     joinMembers(step, group, engine);
     if (isGatheringOver(step, group))
         setState(group, GroupState::Forming, step.now);
-    return false;
 }
 
 bool fenceMembers(PlanningStep &step, const FleetGroup &group)
@@ -226,7 +221,6 @@
         if (!reported.memberByRank.contains(0))
             group.members.insert(group.members.begin(), headOfGroup(*reported.membership));
         group.stateSince = step.now;
-        group.unansweredOpenOrders = 1;
         group.isAdopted = true;
         group.closeMode = CloseMode::AbortRequests;
         const Service *service = findService(step.config, group.service);
--- a/src/libfleet/groupforming.cpp
+++ b/src/libfleet/groupforming.cpp
@@ -1,39 +1,16 @@
-#include "libfleet/groupplanning.h"
+#include "libfleet/groupevidence.h"
 
 #include <algorithm>
 #include <limits>
 #include <map>
 #include <optional>
+#include <span>
 #include <tuple>
 
 namespace Trefoil {
 
 namespace {
 
-// Returns true when the endpoint can join a new group now.
-bool isFree(const PlanningStep &step, const Endpoint &endpoint)
-{
-    const GroupPlanner &planner = step.planner;
-    const auto &membership = endpoint.report.membership;
-    const bool mayBeUnknownMember = membership && membership->epoch < planner.recordedSinceEpoch;
-    if (mayBeUnknownMember && step.now < planner.gatherReportsUntil)
-        return false;
-    if (planner.suspectedVms.contains(endpoint.report.id))
-        return false;
-    const bool isInPlannedGroup =
-            std::any_of(planner.groups.begin(), planner.groups.end(), [&](const auto &item) {
-                const auto &members = item.second.members;
-                return std::find(members.begin(), members.end(), endpoint.report.id)
-                       != members.end();
-            });
-    if (isInPlannedGroup || planner.pendingOrders.contains(endpoint.report.id))
-        return false;
-    const bool isServing = membership && membership->rank == 0
-                           && (membership->phase == MembershipPhase::Open
-                               || membership->phase == MembershipPhase::Closing);
-    return !isServing;
-}
-
 // Returns the number of VMs in groups that serve a model or soon will. A group that has just closed
 // still counts, since its VMs are expected to form another one.
 double countServingVms(const PlanningStep &step, const std::string &service,
@@ -110,19 +87,19 @@
 
 // Returns the number of loads that a group of the model needs when the VMs that already hold the
 // model join first.
-std::size_t countNeededLoads(const std::vector<const Endpoint *> &vms, const ModelProfile &model)
+std::size_t countNeededLoads(const FreeVms &vms, const ModelProfile &model)
 {
     const auto holders = static_cast<std::size_t>(
             std::count_if(vms.begin(), vms.end(),
-                          [&model](const Endpoint *vm) { return holdsModel(*vm, model.name); }));
+                          [&model](const FreeVm &vm) { return holdsModel(*vm, model.name); }));
     return model.vmsPerGroup - std::min<std::size_t>(model.vmsPerGroup, holders);
 }
 
 // Sorts VMs by how fast they join a group of the model. VMs that are equally fast are sorted by the
 // number of other models staged on them, then by failure domain.
-void sortForModel(std::vector<const Endpoint *> &vms, const std::string &model)
+void sortForModel(FreeVms &vms, const std::string &model)
 {
-    const auto rank = [&model](const Endpoint *vm) {
+    const auto rank = [&model](const FreeVm &vm) {
         const bool isLoaded = hasLoaded(*vm, model);
         const auto &staged = vm->report.stagedModels;
         const auto otherModels =
@@ -135,22 +112,23 @@
                           otherModels, vm->report.domain, vm->report.id);
     };
     std::sort(vms.begin(), vms.end(),
-              [&rank](const Endpoint *a, const Endpoint *b) { return rank(a) < rank(b); });
+              [&rank](const FreeVm &a, const FreeVm &b) { return rank(a) < rank(b); });
 }
 
 // Adds a forming group of these members to the planner. The first member is its head.
 FleetGroup &addGroup(PlanningStep &step, const Service &service, const std::string &model,
-                     const std::string &fabric, std::vector<EndpointId> members)
+                     const std::string &fabric, std::span<const FreeVm> members)
 {
     FleetGroup group;
     group.epoch = step.planner.nextEpoch++;
-    group.name = groupName(model, group.epoch, members.front());
+    group.name = groupName(model, group.epoch, members.front()->report.id);
     group.service = service.name;
     group.model = model;
     group.fabric = fabric;
-    group.members = std::move(members);
-    for (const EndpointId &id : group.members)
-        group.startedAtMs[id] = findEndpoint(step.table, id)->report.startedAtMs;
+    for (const FreeVm &vm : members) {
+        group.members.push_back(vm->report.id);
+        group.startedAtMs[vm->report.id] = vm->report.startedAtMs;
+    }
     setState(group, GroupState::Forming, step.now);
     return step.planner.groups[group.name] = group;
 }
@@ -158,31 +136,28 @@
 // Forms a group of the model from the VMs in `free` that join fastest, and removes these VMs from
 // `free`.
 void formGroup(PlanningStep &step, const Service &service, const ModelProfile &model,
-               const std::string &fabric, std::vector<const Endpoint *> &free)
+               const std::string &fabric, FreeVms &free)
 {
     sortForModel(free, model.name);
-    std::vector<EndpointId> members;
-    for (std::uint32_t i = 0; i < model.vmsPerGroup; ++i)
-        members.push_back(free[i]->report.id);
+    const auto members = std::span(free).first(model.vmsPerGroup);
+    recordGroup(step.planner, addGroup(step, service, model.name, fabric, members));
     free.erase(free.begin(), free.begin() + model.vmsPerGroup);
-    recordGroup(step.planner, addGroup(step, service, model.name, fabric, std::move(members)));
 }
 
 // Forms a group of one VM for each spare VM without a loaded model, so that the VM loads the model
 // that is staged on its host. Afterwards the VM can join another group of the model at once, and
 // its host has room for a standby model.
-void warmUpSpares(PlanningStep &step, const Service &service,
-                  const std::vector<const Endpoint *> &spares)
+void warmUpSpares(PlanningStep &step, const Service &service, const FreeVms &spares)
 {
     if (!step.planner.options.warmsUpSpares)
         return;
-    for (const Endpoint *spare : spares) {
+    for (const FreeVm &spare : spares) {
         const auto &staged = spare->report.stagedModels;
         const bool isWarmOrEmpty = !spare->loadedModel.empty() || staged.empty();
         if (isWarmOrEmpty || !findModel(*service.engine, staged.front()))
             continue;
         FleetGroup &group =
-                addGroup(step, service, staged.front(), spare->report.fabric, {spare->report.id});
+                addGroup(step, service, staged.front(), spare->report.fabric, std::span(&spare, 1));
         group.isWarmUp = true;
         recordGroup(step.planner, group);
     }
@@ -195,8 +170,6 @@
     std::string fabric;
 };
 
-using FreeVmsByFabric = std::map<std::string, std::vector<const Endpoint *>>;
-
 // Returns how many fewer groups of the largest model fit into the free VMs of a fabric after a
 // group of `groupSize` VMs has formed there.
 std::size_t countDisplacedLargeGroups(const Service &service, std::size_t freeVms,
@@ -210,7 +183,7 @@
 
 // Returns true when the VMs may form a group of the model now.
 bool canForm(const PlanningStep &step, const Service &service, const ModelProfile &model,
-             const std::vector<const Endpoint *> &vms, double lowestCoverage)
+             const FreeVms &vms, double lowestCoverage)
 {
     const GroupPlannerOptions &options = step.planner.options;
     if (model.vmsPerGroup > vms.size())
@@ -234,7 +207,7 @@
 // model that already has its share. They serve more requests in a group of that model than while
 // they wait for other VMs.
 const ModelProfile *chooseModel(const PlanningStep &step, const Service &service,
-                                const std::vector<const Endpoint *> &vms)
+                                const FreeVms &vms)
 {
     double lowestCoverage = std::numeric_limits<double>::max();
     for (const ModelProfile &model : service.engine->models)
@@ -397,16 +370,16 @@
         return;
     FreeVmsByFabric freeByFabric;
     for (const auto &[id, endpoint] : step.table.endpoints) {
-        const bool canJoin = endpoint.report.service == service.name && step.findUsable(id)
-                             && isFree(step, endpoint);
-        if (canJoin)
-            freeByFabric[endpoint.report.fabric].push_back(&endpoint);
+        if (endpoint.report.service != service.name)
+            continue;
+        if (const auto vm = proveFree(step, endpoint))
+            freeByFabric[endpoint.report.fabric].push_back(*vm);
     }
     while (const auto placement = chooseGroupPlacement(step, service, freeByFabric))
         formGroup(step, service, *placement->model, placement->fabric,
                   freeByFabric[placement->fabric]);
     reassignGroups(step, service, freeByFabric);
-    std::vector<const Endpoint *> spares;
+    FreeVms spares;
     for (const auto &[fabric, free] : freeByFabric)
         spares.insert(spares.end(), free.begin(), free.end());
     warmUpSpares(step, service, spares);
--- a/src/libfleet/grouplosses.cpp
+++ b/src/libfleet/grouplosses.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/groupplanning.h"
+#include "libfleet/groupevidence.h"
 
 #include <algorithm>
 #include <optional>
@@ -18,17 +18,6 @@
     return live->isLeaving ? "leaves" : "was replaced";
 }
 
-// Returns true when the endpoint is certainly out of the group. The only report of it that a new
-// leader knows may be older than the group. Then it counts as out only after it has accepted a
-// leave order.
-bool hasLeft(const PlanningStep &step, const FleetGroup &group, const Endpoint &endpoint)
-{
-    const EndpointId &id = endpoint.report.id;
-    if (endpoint.isReplaced || group.leftMembers.contains(id))
-        return true;
-    return group.confirmedMembers.contains(id) && step.findLive(id) && !isMember(endpoint, group);
-}
-
 // Orders the other members to leave a group whose head does not answer.
 void detachFromHead(PlanningStep &step, const FleetGroup &group)
 {
@@ -36,27 +25,20 @@
         const Endpoint *member = step.findLive(id);
         if (!member || id == group.members.front())
             continue;
-        if (!hasLeft(step, group, *member))
-            queueOrder(step, *member, group, OrderKind::Leave, "the head of the group is silent");
+        queueOrder(step, *member, group, OrderKind::Leave, "the head of the group is silent");
     }
 }
 
-// Removes members that have left a closing group, so that other groups can use them. Without them
-// the head makes no progress, whatever its state is. The head itself stays in the group, since it
-// may hold requests and an open order may still take effect there.
+// Releases the members that have left a closing group, so that other groups can use them. Without
+// them the head makes no progress, whatever its state is. The head itself stays in the group, since
+// it may hold requests and an open order may still take effect there.
 void releaseMembers(PlanningStep &step, FleetGroup &group)
 {
-    const auto isReleased = [&](const EndpointId &id) {
-        const Endpoint *member = step.findLive(id);
-        return member && hasLeft(step, group, *member);
-    };
-    const auto firstReleased =
-            std::remove_if(group.members.begin() + 1, group.members.end(), isReleased);
-    if (firstReleased == group.members.end())
-        return;
-    group.members.erase(firstReleased, group.members.end());
-    if (group.isProposed)
-        recordGroup(step.planner, group);
+    const std::vector<EndpointId> others(group.members.begin() + 1, group.members.end());
+    for (const EndpointId &id : others) {
+        if (const auto exit = proveMemberExit(step, group, id))
+            releaseMember(step.planner, group, id, *exit);
+    }
 }
 
 } // namespace
@@ -119,53 +101,61 @@
                isPlanned ? CloseMode::FinishRequests : CloseMode::AbortRequests, step.now);
 }
 
-bool advanceClosing(PlanningStep &step, FleetGroup &group)
+void advanceClosing(PlanningStep &step, FleetGroup &group)
 {
-    const Endpoint *known = findEndpoint(step.table, group.members.front());
-    if (known && hasLeft(step, group, *known))
-        return true;
     const Endpoint *head = step.findLive(group.members.front());
+    if (head && head->isReplaced)
+        head = nullptr;
+    releaseMembers(step, group);
+    if (step.now - group.stateSince > step.planner.options.closeTimeout)
+        group.closeMode = CloseMode::AbortRequests;
     const bool hasCloseTimedOut =
             group.closeMode == CloseMode::AbortRequests
             && step.now - group.stateSince > step.planner.options.closeAnswerTimeout;
     if (!head || hasCloseTimedOut)
         detachFromHead(step, group);
-    releaseMembers(step, group);
-    if (!head) {
-        // A head that has never reported to this leader may still serve.
-        const bool mayServe =
-                !group.confirmedMembers.contains(group.members.front())
-                && step.now - group.stateSince <= step.planner.options.unknownHeadRetention;
-        const bool isAnyKnown =
-                std::any_of(group.members.begin(), group.members.end(),
-                            [&step](const EndpointId &id) { return findEndpoint(step.table, id); });
-        return !isAnyKnown && !mayServe;
-    }
-    if (!isMember(*head, group)) {
-        queueHeadOrder(step, group, *head, OrderKind::Leave, "its report is older than the group");
-        return false;
-    }
-    if (head->report.membership->phase == MembershipPhase::Open)
-        group.isOpenPending = false;
-    switch (head->report.membership->phase) {
-    case MembershipPhase::Broken:
-        return true;
-    case MembershipPhase::Joining:
-    case MembershipPhase::Ready:
-        if (group.unansweredOpenOrders == 0 && !group.isOpenPending)
-            return true;
-        // The head may have opened since its report, or may still open by a late order of this or
-        // an earlier leader. It must leave the group, so that such an order has no effect.
-        queueHeadOrder(step, group, *head, OrderKind::Leave, "an open order may take effect late");
-        return false;
-    case MembershipPhase::Open:
-    case MembershipPhase::Closing:
-        break;
+    if (!head)
+        return;
+    const auto &membership = head->report.membership;
+    const bool isServing = isMember(*head, group)
+                           && (membership->phase == MembershipPhase::Open
+                               || membership->phase == MembershipPhase::Closing);
+    // A head that has opened since its report, or that opens by a late order, must leave as well.
+    if (!isServing) {
+        queueHeadOrder(step, group, *head, OrderKind::Leave, group.closeReason);
+        return;
     }
-    if (step.now - group.stateSince > step.planner.options.closeTimeout)
-        group.closeMode = CloseMode::AbortRequests;
     queueHeadOrder(step, group, *head, OrderKind::Close, group.closeReason);
-    return false;
+}
+
+bool isAbandoned(const PlanningStep &step, const FleetGroup &group)
+{
+    const bool isLongAgo = step.now - group.stateSince > step.planner.options.unknownHeadRetention;
+    const bool isClosing = group.state == GroupState::Closing || isUnheard(step, group);
+    return isClosing
+           && std::all_of(group.members.begin(), group.members.end(), [&](const EndpointId &id) {
+                  const Endpoint *endpoint = findEndpoint(step.table, id);
+                  return endpoint ? endpoint->isReplaced : isLongAgo;
+              });
+}
+
+void detachUnknownMembers(PlanningStep &step)
+{
+    if (step.now < step.planner.gatherReportsUntil)
+        return;
+    for (const auto &[id, endpoint] : step.table.endpoints) {
+        const auto &membership = endpoint.report.membership;
+        const bool isCandidate = membership && step.findUsable(id)
+                                 && !isInPlannedGroup(step.planner, id)
+                                 && !step.planner.groups.contains(membership->group)
+                                 && !step.planner.suspectedVms.contains(id);
+        if (!isCandidate || proveFree(step, endpoint))
+            continue;
+        FleetGroup unknown;
+        unknown.name = membership->group;
+        unknown.epoch = membership->epoch;
+        queueOrder(step, endpoint, unknown, OrderKind::Leave, "the log does not contain the group");
+    }
 }
 
 } // namespace Trefoil
--- a/src/libfleet/grouporders.cpp
+++ b/src/libfleet/grouporders.cpp
@@ -32,9 +32,12 @@
     order.members = group.members;
     order.closeMode = group.closeMode;
     order.reason = std::move(reason);
-    planner.pendingOrders[order.endpoint] = {order.number, kind, group.name, step.now, startsLoad};
+    planner.pendingOrders[order.endpoint] = {
+            order.number, kind, group.name, step.now, endpoint.report.startedAtMs, startsLoad};
     if (kind == OrderKind::Open)
-        ++planner.groups[group.name].unansweredOpenOrders;
+        planner.groups[group.name].hasOpenOrder = true;
+    if (kind == OrderKind::Join)
+        planner.leaveAnswers.erase(order.endpoint);
     if (startsLoad && planner.hasTraffic)
         planner.recentLoadStarts.push_back(step.now);
     step.orders.push_back(std::move(order));
@@ -76,20 +79,11 @@
     const bool isAnswered = outcome != OrderOutcome::Unanswered;
     if (!isAnswered)
         suspectVm(planner, endpoint, pending->second.sentAt);
-    if (isAnswered && pending->second.kind == OrderKind::Open && group != planner.groups.end()
-        && group->second.unansweredOpenOrders > 0) {
-        --group->second.unansweredOpenOrders;
-        // The head opens a little after it accepts the order, so the open stays pending until a
-        // report shows it. A refusal does not clear the pending state, because a head that is
-        // opening or open refuses a repeated order.
-        if (outcome == OrderOutcome::Accepted)
-            group->second.isOpenPending = true;
-    }
     const OrderKind kind = pending->second.kind;
     // An engine that refuses a leave order because of its state is in another group or in none.
     const bool hasLeft = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::WrongState;
-    if (hasLeft && kind == OrderKind::Leave && group != planner.groups.end())
-        group->second.leftMembers.insert(endpoint);
+    if (hasLeft && kind == OrderKind::Leave)
+        planner.leaveAnswers[endpoint] = {pending->second.group, pending->second.startedAtMs};
     if (outcome == OrderOutcome::Accepted && kind == OrderKind::Join
         && group != planner.groups.end())
         group->second.fencedMembers.insert(endpoint);
@@ -100,6 +94,7 @@
     pending->second.isAccepted = awaitsReport;
     if (awaitsReport || !isAnswered)
         return;
+    const TimePoint sentAt = pending->second.sentAt;
     planner.pendingOrders.erase(pending);
     if (kind == OrderKind::Stage && outcome != OrderOutcome::Accepted)
         planner.stagingByVm.erase(endpoint);
@@ -107,10 +102,8 @@
             outcome == OrderOutcome::Outdated || outcome == OrderOutcome::WrongEndpoint;
     const bool isForming =
             group != planner.groups.end() && group->second.state == GroupState::Forming;
-    if (hasLostMember && isForming && group->second.unansweredOpenOrders == 0) {
-        recordEnd(planner, group->second);
-        planner.groups.erase(group);
-    }
+    if (hasLostMember && isForming)
+        closeGroup(group->second, endpoint + " refuses an order", CloseMode::AbortRequests, sentAt);
 }
 
 } // namespace Trefoil
--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/groupplanning.h"
+#include "libfleet/groupevidence.h"
 
 #include <algorithm>
 
@@ -11,77 +11,93 @@
 // Number of group epochs in one term. Epochs of later terms are higher.
 constexpr std::uint64_t EpochsPerTerm = 1'000'000;
 
-// Remembers the members that report the group.
-void confirmMembers(const PlanningStep &step, FleetGroup &group)
+// Orders the members of a forming group to join, and goes on with the group once all are ready.
+void advanceForming(PlanningStep &step, FleetGroup &group, const EngineProfile &engine)
 {
-    for (const EndpointId &id : group.members) {
-        const Endpoint *endpoint = findEndpoint(step.table, id);
-        if (endpoint && isMember(*endpoint, group))
-            group.confirmedMembers.insert(id);
+    if (const auto missing = findMissingMember(step, group)) {
+        startClosing(step, group, *missing);
+        return;
+    }
+    if (step.now - group.stateSince > step.planner.options.formingTimeout) {
+        closeGroup(group, "it did not form in time", CloseMode::AbortRequests, step.now);
+        return;
     }
+    const bool isContinued = group.isAdopted && continueReportedGroup(step, group)
+                             && group.state != GroupState::Forming;
+    if (isContinued || !joinMembers(step, group, engine))
+        return;
+    if (group.isWarmUp)
+        closeGroup(group, "its VM has loaded the model", CloseMode::AbortRequests, step.now);
+    else
+        setState(group, GroupState::Opening, step.now);
 }
 
-// Moves a group to its next state and sends the orders that this needs. Sets `hasEnded` when the
-// group is to be forgotten.
-void advanceGroup(PlanningStep &step, FleetGroup &group, const EngineProfile &engine,
-                  bool &hasEnded)
+// Opens a group whose members are ready, and closes one that lacks a member.
+void advanceOpen(PlanningStep &step, FleetGroup &group)
 {
-    confirmMembers(step, group);
-    if (group.state == GroupState::Inherited) {
-        hasEnded = advanceInherited(step, group, engine);
+    if (const auto missing = findMissingMember(step, group)) {
+        startClosing(step, group, *missing);
         return;
     }
-    const std::optional<MissingMember> missing = findMissingMember(step, group);
-    const bool isOverdue = step.now - group.stateSince > step.planner.options.formingTimeout;
+    const Endpoint &head = *step.findUsable(group.members.front());
+    const MembershipPhase phase = head.report.membership->phase;
+    if (phase == MembershipPhase::Open && group.state == GroupState::Opening) {
+        setState(group, GroupState::Open, step.now);
+    } else if (phase == MembershipPhase::Ready) {
+        if (!group.isAdopted || fenceMembers(step, group))
+            queueHeadOrder(step, group, head, OrderKind::Open, "all members are ready");
+    } else if (phase == MembershipPhase::Broken) {
+        closeGroup(group, "it is broken", CloseMode::AbortRequests, step.now);
+    }
+}
+
+// Moves a group to its next state and sends the orders that this needs.
+//
+// A group whose service is not configured is kept as it is: the service may return, and no other
+// service can use its VMs. One whose model is not configured ends once its requests have finished,
+// since the service's other models can use its VMs.
+void advanceGroup(PlanningStep &step, FleetGroup &group)
+{
+    const Service *service = findService(step.config, group.service);
+    const EngineProfile *engine = service && service->engine ? &*service->engine : nullptr;
+    if (engine && !findModel(*engine, group.model) && group.state != GroupState::Closing)
+        closeGroup(group, "its model is not configured", CloseMode::FinishRequests, step.now);
     switch (group.state) {
     case GroupState::Inherited:
-        return;
+        if (engine)
+            advanceInherited(step, group, *engine);
+        break;
     case GroupState::Forming:
-        if (missing && group.unansweredOpenOrders > 0) {
-            startClosing(step, group, *missing);
-            return;
-        }
-        if (isOverdue && group.unansweredOpenOrders > 0) {
-            closeGroup(group, "it did not form in time", CloseMode::AbortRequests, step.now);
-            return;
-        }
-        if (missing)
-            suspectVm(step.planner, missing->id, step.now);
-        hasEnded = missing.has_value() || isOverdue;
-        if (hasEnded)
-            return;
-        if (group.isAdopted && continueReportedGroup(step, group, hasEnded)
-            && group.state != GroupState::Forming)
-            return;
-        if (hasEnded || !joinMembers(step, group, engine))
-            return;
-        if (group.isWarmUp)
-            hasEnded = true;
-        else
-            setState(group, GroupState::Opening, step.now);
-        return;
+        if (engine)
+            advanceForming(step, group, *engine);
+        break;
     case GroupState::Opening:
     case GroupState::Open:
-        if (missing) {
-            startClosing(step, group, *missing);
-            return;
-        }
+        if (engine)
+            advanceOpen(step, group);
         break;
     case GroupState::Closing:
-        hasEnded = advanceClosing(step, group);
-        return;
+        break;
     }
-    const Endpoint &head = *step.findUsable(group.members.front());
-    const MembershipPhase phase = head.report.membership->phase;
-    if (phase == MembershipPhase::Open) {
-        group.isOpenPending = false;
-        if (group.state == GroupState::Opening)
-            setState(group, GroupState::Open, step.now);
-    } else if (phase == MembershipPhase::Ready) {
-        if (!group.isAdopted || fenceMembers(step, group))
-            queueHeadOrder(step, group, head, OrderKind::Open, "all members are ready");
-    } else if (phase == MembershipPhase::Broken) {
-        hasEnded = true;
+    if (group.state == GroupState::Closing)
+        advanceClosing(step, group);
+}
+
+// Advances all groups and removes those that have ended or were abandoned.
+void advanceGroups(PlanningStep &step)
+{
+    GroupPlanner &planner = step.planner;
+    for (auto item = planner.groups.begin(); item != planner.groups.end();) {
+        FleetGroup &group = item->second;
+        advanceGroup(step, group);
+        const bool isClosing = group.state == GroupState::Closing;
+        const auto end = isClosing ? proveGroupEnd(step, group) : std::nullopt;
+        const bool isRemoved = end || isAbandoned(step, group);
+        if (end)
+            recordEnd(planner, group, *end);
+        else if (isRemoved)
+            removeRecord(planner, group);
+        item = isRemoved ? planner.groups.erase(item) : std::next(item);
     }
 }
 
@@ -163,6 +179,8 @@
         const Endpoint *endpoint = findEndpoint(table, item.first);
         return !endpoint || endpoint->lastReportAt > item.second;
     });
+    std::erase_if(planner.leaveAnswers,
+                  [&table](const auto &item) { return !findEndpoint(table, item.first); });
     std::erase_if(planner.stagingByVm, [&](const auto &item) {
         const Endpoint *endpoint = findEndpoint(table, item.first);
         return !endpoint || item.second.expiresAt <= now || hasStaged(*endpoint, item.second.model);
@@ -174,16 +192,9 @@
         return now - item.second > planner.options.stallReportLifetime;
     });
     adoptGroups(step);
-    for (auto item = planner.groups.begin(); item != planner.groups.end();) {
-        const Service *service = findService(config, item->second.service);
-        bool hasEnded = !service || !service->engine;
-        if (!hasEnded)
-            advanceGroup(step, item->second, *service->engine, hasEnded);
-        if (hasEnded)
-            recordEnd(planner, item->second);
-        item = hasEnded ? planner.groups.erase(item) : std::next(item);
-    }
+    advanceGroups(step);
     forgetEndedGroups(step);
+    detachUnknownMembers(step);
     for (const Service &service : config.services) {
         if (service.engine)
             formGroups(step, service);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -73,14 +73,9 @@
     bool isProposed = false; // the log contains the group, or may soon
     bool isRecorded = false; // the group is committed in the log
     std::map<EndpointId, std::uint64_t> startedAtMs; // of the members when the group was formed
-    // Members that have reported to this leader that they are in the group. A report of another
-    // member that says otherwise may be older than its join.
-    std::set<EndpointId> confirmedMembers;
     // Members of an adopted group that have accepted a join order of this leader.
     std::set<EndpointId> fencedMembers;
-    bool isOpenPending = false; // an open order was accepted and no report shows its effect yet
-    std::uint32_t unansweredOpenOrders = 0; // open orders that may still be carried out
-    std::set<EndpointId> leftMembers;       // members that have accepted a leave order
+    bool hasOpenOrder = false; // this leader has ordered the head to open
 };
 
 // Last order to an endpoint, until its effect is reported or it times out.
@@ -90,8 +85,17 @@
     OrderKind kind = OrderKind::Join;
     std::string group;
     TimePoint sentAt{};
-    bool startsLoad = false; // the engine loads from the weight store
-    bool isAccepted = false; // the next report shows the effect
+    std::uint64_t startedAtMs = 0; // start of the endpoint's life that was known then
+    bool startsLoad = false;       // the engine loads from the weight store
+    bool isAccepted = false;       // the next report shows the effect
+};
+
+// Answer of a VM to a leave order of this leader. The VM is out of the group and refuses orders
+// that were sent before.
+struct LeaveAnswer
+{
+    std::string group;
+    std::uint64_t startedAtMs = 0; // start of the VM's life that was known when it was ordered
 };
 
 // Load of a model onto a VM's host ahead of its use.
@@ -177,6 +181,7 @@
     std::map<EndpointId, TimePoint> lastProgressByHead; // last progress that any entry saw
     std::map<std::string, FleetGroup> groups;
     std::map<EndpointId, PendingGroupOrder> pendingOrders;
+    std::map<EndpointId, LeaveAnswer> leaveAnswers;
     std::set<std::string> endedGroups; // ended groups that members still report
     // VMs that may be lost, with the time of the suspicion. They are excluded from new groups until
     // they report again.
--- a/src/libfleet/groupplanning.h
+++ b/src/libfleet/groupplanning.h
@@ -55,8 +55,11 @@
 // Adds the record of a new or changed group to the changes of the log.
 void recordGroup(GroupPlanner &planner, const FleetGroup &group);
 
-// Records that a group has ended. The caller removes it from the planner.
-void recordEnd(GroupPlanner &planner, const FleetGroup &group);
+// Removes the record of a group from the log. Its VMs are not free for that.
+void removeRecord(GroupPlanner &planner, const FleetGroup &group);
+
+// Returns true when a group of the planner contains the endpoint.
+bool isInPlannedGroup(const GroupPlanner &planner, const EndpointId &id);
 
 // Adds the groups of the log to the planner of a new leader.
 void inheritGroups(GroupPlanner &planner, const GroupRecords &records, TimePoint now);
@@ -91,13 +94,20 @@
 // leaves as planned.
 void startClosing(PlanningStep &step, FleetGroup &group, const MissingMember &missing);
 
-// Sends the orders that close the group and releases members that have left it. Returns true when
-// the head can no longer serve, so that the group has ended.
-bool advanceClosing(PlanningStep &step, FleetGroup &group);
+// Sends the orders that close the group and releases members that have left it.
+void advanceClosing(PlanningStep &step, FleetGroup &group);
+
+// Returns true when the record of a group is of no more use: all its members were replaced, or were
+// not heard for a long time. One that returns has to leave the group before it is used again.
+bool isAbandoned(const PlanningStep &step, const FleetGroup &group);
+
+// Orders VMs to leave groups that the log does not contain and of whose end this leader does not
+// know. Until then they are not used.
+void detachUnknownMembers(PlanningStep &step);
 
 // Continues with a group of an earlier leader once all its members report it. Returns false when
-// some do not. Sets `hasEnded` when its head can no longer serve.
-bool continueReportedGroup(PlanningStep &step, FleetGroup &group, bool &hasEnded);
+// some do not.
+bool continueReportedGroup(PlanningStep &step, FleetGroup &group);
 
 // Orders each member of an adopted group to join again, so that the members refuse late orders of
 // earlier leaders before the group opens. Returns true once all have accepted.
@@ -112,9 +122,8 @@
 bool isUnheard(const PlanningStep &step, const FleetGroup &group);
 
 // Decides whether an inherited group continues. Orders its members to join if they do not report
-// the group, so that what an earlier leader has recorded is completed. Returns true when the group
-// has ended.
-bool advanceInherited(PlanningStep &step, FleetGroup &group, const EngineProfile &engine);
+// the group, so that what an earlier leader has recorded is completed.
+void advanceInherited(PlanningStep &step, FleetGroup &group, const EngineProfile &engine);
 
 // Forgets ended groups that no endpoint reports any more.
 void forgetEndedGroups(PlanningStep &step);
@@ -128,13 +137,4 @@
 // Returns true when one more load may start at the weight store.
 bool canStartLoad(PlanningStep &step, const EngineProfile &engine);
 
-// Stages models on free VMs that hold none, so that they can form a group without loading.
-void stageSpareVms(PlanningStep &step, const Service &service, const std::string &fabric,
-                   const std::vector<const Endpoint *> &spares);
-
-// Stages on each VM a model other than the one that it holds, so that the VMs that remain of a lost
-// group can join a group of any model.
-void stageStandbyModels(PlanningStep &step, const Service &service,
-                        const std::vector<const Endpoint *> &spares);
-
 } // namespace Trefoil
--- a/src/libfleet/grouprecording.cpp
+++ b/src/libfleet/grouprecording.cpp
@@ -33,9 +33,8 @@
     planner.unproposedChanges.recorded.push_back(makeRecord(group));
 }
 
-void recordEnd(GroupPlanner &planner, const FleetGroup &group)
+void removeRecord(GroupPlanner &planner, const FleetGroup &group)
 {
-    planner.endedGroups.insert(group.name);
     removeUnproposed(planner, group.name);
     if (group.isProposed)
         planner.unproposedChanges.ended.push_back(group.name);
@@ -59,7 +58,6 @@
         group.isAdopted = true;
         group.isProposed = true;
         group.isRecorded = true;
-        group.unansweredOpenOrders = 1;
         group.closeMode = CloseMode::AbortRequests;
         setState(group, GroupState::Inherited, now);
         planner.groups[name] = group;
--- a/src/libfleet/weightstaging.cpp
+++ b/src/libfleet/weightstaging.cpp
@@ -1,7 +1,6 @@
-#include "libfleet/groupplanning.h"
+#include "libfleet/groupevidence.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 
 namespace Trefoil {
@@ -32,12 +31,11 @@
 }
 
 // Returns the number of spare VMs that hold a model or are loading it.
-std::size_t countSparesWithModel(const PlanningStep &step,
-                                 const std::vector<const Endpoint *> &spares,
+std::size_t countSparesWithModel(const PlanningStep &step, const FreeVms &spares,
                                  const std::string &model)
 {
     return static_cast<std::size_t>(
-            std::count_if(spares.begin(), spares.end(), [&](const Endpoint *spare) {
+            std::count_if(spares.begin(), spares.end(), [&](const FreeVm &spare) {
                 const auto staging = step.planner.stagingByVm.find(spare->report.id);
                 const bool isStaging =
                         staging != step.planner.stagingByVm.end() && staging->second.model == model;
@@ -62,8 +60,7 @@
 // others. Before the first request loads cost little, so the second choice is then the served model
 // of which the spare VMs hold the fewest copies relative to its group size.
 const ModelProfile *chooseModelToStage(const PlanningStep &step, const Service &service,
-                                       const std::string &fabric,
-                                       const std::vector<const Endpoint *> &spares)
+                                       const std::string &fabric, const FreeVms &spares)
 {
     const ModelProfile *forWholeGroup = nullptr;
     const ModelProfile *forServedModel = nullptr;
@@ -145,9 +142,9 @@
 }
 
 void stageSpareVms(PlanningStep &step, const Service &service, const std::string &fabric,
-                   const std::vector<const Endpoint *> &spares)
+                   const FreeVms &spares)
 {
-    for (const Endpoint *spare : spares) {
+    for (const FreeVm &spare : spares) {
         const bool isStaging = step.planner.stagingByVm.contains(spare->report.id);
         if (!spare->loadedModel.empty() || !spare->report.stagedModels.empty() || isStaging)
             continue;
@@ -158,14 +155,15 @@
     }
 }
 
-void stageStandbyModels(PlanningStep &step, const Service &service,
-                        const std::vector<const Endpoint *> &spares)
+void stageStandbyModels(PlanningStep &step, const Service &service, const FreeVms &spares)
 {
     if (!step.planner.options.stagesStandbyModels)
         return;
     std::vector<const Endpoint *> vms;
-    std::copy_if(spares.begin(), spares.end(), std::back_inserter(vms),
-                 [](const Endpoint *spare) { return !spare->loadedModel.empty(); });
+    for (const FreeVm &spare : spares) {
+        if (!spare->loadedModel.empty())
+            vms.push_back(&*spare);
+    }
     for (const auto &[name, group] : step.planner.groups) {
         if (group.service != service.name || group.state != GroupState::Open)
             continue;
--- a/tests/support/enginefleet.cpp
+++ b/tests/support/enginefleet.cpp
@@ -16,6 +16,7 @@
 constexpr auto CommitDelay = std::chrono::milliseconds(10);
 constexpr auto ProgressInterval = std::chrono::milliseconds(500);
 constexpr std::size_t ControlVmCount = 3;
+constexpr std::size_t MaxSentReports = 60;
 constexpr auto LoadWindow = std::chrono::seconds(5);
 constexpr std::size_t MaxLoadsPerWindow = 25; // 4 per second plus 10 percent, plus 3
 
@@ -217,7 +218,9 @@
     answer.term = delayed.order.term;
     answer.endpoint = delayed.order.endpoint;
     answer.number = delayed.order.number;
-    answer.outcome = answer.at - fleet.now > ReplyTimeout ? OrderOutcome::Unanswered : outcome;
+    const bool isLost = reachable && found->second.isMute;
+    answer.outcome =
+            isLost || answer.at - fleet.now > ReplyTimeout ? OrderOutcome::Unanswered : outcome;
     fleet.answers.push_back(answer);
 }
 
@@ -372,6 +375,9 @@
         return;
     engine.nextReport = fleet.now + ReportInterval;
     ++engine.report.sequence;
+    fleet.sentReports.push_back(engine.report);
+    if (fleet.sentReports.size() > MaxSentReports)
+        fleet.sentReports.pop_front();
     if (!engine.isPartitioned)
         fleet.reports.push_back({fleet.now + drawReplyDelay(fleet), fleet.now, engine.report,
                                  engine.reportsTo, false});
@@ -439,18 +445,27 @@
 
 namespace {
 
+Duration drawOrderDelay(EngineFleet &fleet)
+{
+    if (fleet.maxOrderDelay.count() == 0)
+        return OrderDelay;
+    std::uniform_int_distribution<long> delay(0, fleet.maxOrderDelay.count());
+    return std::chrono::milliseconds(delay(fleet.rng));
+}
+
 void runPlanner(EngineFleet &fleet, std::size_t controlVm)
 {
     std::uniform_real_distribution<double> fraction(0, 1);
     std::uniform_int_distribution<int> lateDelay(2000, 12'000);
     SimulatedControlVm &vm = fleet.controlVms[controlVm];
-    std::vector<GroupOrder> orders = planGroups(vm.planner, vm.table, fleet.config, fleet.now);
+    const ServiceConfiguration &config = fleet.published ? *fleet.published : fleet.config;
+    std::vector<GroupOrder> orders = planGroups(vm.planner, vm.table, config, fleet.now);
     GroupRecordChanges changes = takeRecordChanges(vm.planner);
     if (!changes.isEmpty())
         fleet.proposals.push_back(
                 {fleet.now + CommitDelay, controlVm, vm.planner.term, std::move(changes), false});
     for (GroupOrder &order : orders) {
-        DelayedOrder delayed{fleet.now + OrderDelay, std::move(order), true};
+        DelayedOrder delayed{fleet.now + drawOrderDelay(fleet), std::move(order), true};
         if (fraction(fleet.rng) < fleet.lateOrderFraction) {
             delayed.isAnswered = false;
             delayed.at = fleet.now + std::chrono::milliseconds(lateDelay(fleet.rng));
@@ -526,6 +541,61 @@
 
 namespace {
 
+void publish(EngineFleet &fleet, ServiceConfiguration config)
+{
+    indexConfiguration(config);
+    for (SimulatedControlVm &vm : fleet.controlVms)
+        setServices(vm.table, config, fleet.now);
+    fleet.published = std::move(config);
+}
+
+} // namespace
+
+void publishWithoutService(EngineFleet &fleet)
+{
+    ServiceConfiguration config = fleet.config;
+    config.services.clear();
+    publish(fleet, std::move(config));
+}
+
+void publishWithoutModel(EngineFleet &fleet, const std::string &model)
+{
+    ServiceConfiguration config = fleet.config;
+    std::erase_if(config.services.front().engine->models,
+                  [&model](const ModelProfile &profile) { return profile.name == model; });
+    publish(fleet, std::move(config));
+}
+
+void publishAll(EngineFleet &fleet)
+{
+    publish(fleet, fleet.config);
+    fleet.published.reset();
+}
+
+void repeatReport(EngineFleet &fleet, std::size_t which, Duration delay)
+{
+    if (fleet.sentReports.empty())
+        return;
+    const EndpointReport &report = fleet.sentReports[which % fleet.sentReports.size()];
+    const std::size_t controlVm = which % fleet.controlVms.size();
+    fleet.reports.push_back({fleet.now + delay, fleet.now + delay, report, controlVm, false});
+}
+
+void sendReportWithoutGroup(EngineFleet &fleet, const EndpointId &id, bool lacksEngineState)
+{
+    EndpointReport report = fleet.engines.at(id).report;
+    ++report.sequence;
+    report.membership.reset();
+    report.lacksEngineState = lacksEngineState;
+    if (lacksEngineState) {
+        report.fabric.clear();
+        report.stagedModels.clear();
+    }
+    fleet.reports.push_back({fleet.now, fleet.now, report, fleet.leader, false});
+}
+
+namespace {
+
 // Draws how many of the leader's proposals have reached the next leader. They arrive in order.
 // Those of earlier leaders do not count.
 void drawArrivedProposals(EngineFleet &fleet)
--- a/tests/support/enginefleet.h
+++ b/tests/support/enginefleet.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/fleet.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -32,6 +33,7 @@
     std::uint64_t highestFencingToken = 0;
     TimePoint nextReport{};
     TimePoint stalledSince = TimePoint::max(); // set on a head whose group has lost a VM
+    bool isMute = false;                       // executes orders and does not answer them
 };
 
 struct DelayedOrder
@@ -81,7 +83,9 @@
 
 struct EngineFleet
 {
-    ServiceConfiguration config;
+    ServiceConfiguration config; // what the engines are
+    // What the control VMs know of it; all of it without a value.
+    std::optional<ServiceConfiguration> published;
     std::map<EndpointId, SimulatedEngine> engines;
     std::vector<SimulatedControlVm> controlVms;
     std::size_t leader = 0; // control VM that was elected last
@@ -99,6 +103,8 @@
     double delayedReplyFraction = 0; // fraction of answers and reports that are late
     std::chrono::milliseconds maxReplyDelay{2000};
     double lateOrderFraction = 0; // fraction of orders that are executed late and get no answer
+    std::chrono::milliseconds maxOrderDelay{0}; // drawn for each order, 0 for a fixed delay
+    std::deque<EndpointReport> sentReports;     // the latest ones
     std::uint64_t nextEngineNumber = 1;
     Duration stallTimeout = std::chrono::seconds(6);
     TimePoint nextProgress{}; // of the open groups, as the entries tell all control VMs
@@ -132,6 +138,19 @@
 void setPartitioned(EngineFleet &fleet, const EndpointId &id, bool isPartitioned);
 void setDraining(EngineFleet &fleet, const EndpointId &id);
 
+// Publishes a configuration without the service, without one of its models, or the whole one.
+void publishWithoutService(EngineFleet &fleet);
+void publishWithoutModel(EngineFleet &fleet, const std::string &model);
+void publishAll(EngineFleet &fleet);
+
+// Lets a control VM receive a report again that an engine has sent some time ago, perhaps in an
+// earlier life.
+void repeatReport(EngineFleet &fleet, std::size_t which, Duration delay);
+
+// Lets a control VM receive a report in the name of a running engine that another program has
+// written. Without its group, the report says that the engine is in none.
+void sendReportWithoutGroup(EngineFleet &fleet, const EndpointId &id, bool lacksEngineState);
+
 // Returns the control VM that was elected last.
 SimulatedControlVm &leaderOf(EngineFleet &fleet);
 const SimulatedControlVm &leaderOf(const EngineFleet &fleet);
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -319,7 +319,11 @@
     fleet.maxReplyDelay = milliseconds(100);
     const auto opening = [&fleet] {
         for (const auto &[name, group] : leaderOf(fleet).planner.groups) {
-            if (group.model == "large" && group.state == GroupState::Opening && group.isOpenPending)
+            const SimulatedEngine &head = fleet.engines.at(group.members.front());
+            const bool hasAccepted = head.phaseChangesAt != TimePoint::max()
+                                     && head.nextPhase == MembershipPhase::Open;
+            if (group.model == "large" && group.state == GroupState::Opening && hasAccepted
+                && !leaderOf(fleet).planner.pendingOrders.contains(group.members.front()))
                 return name;
         }
         return std::string();
@@ -575,7 +579,7 @@
         return std::any_of(fleet.log.byName.begin(), fleet.log.byName.end(), [&](const auto &item) {
             const EndpointId &head = item.second.members.front().first;
             const auto &membership = fleet.engines.at(head).report.membership;
-            return membership && membership->group != item.first;
+            return !membership || membership->group != item.first;
         });
     };
     while (!hasUnorderedGroup())
@@ -628,6 +632,65 @@
     checkInvariants(fleet);
 }
 
+// A version of the configuration leaves the service out, and the next one brings it back. The heads
+// of the groups serve all the while.
+BOOST_AUTO_TEST_CASE(groups_of_a_service_that_leaves_the_configuration_are_taken_apart)
+{
+    EngineFleet fleet = makeServingFleet(2, 1);
+    const std::size_t before = countOpenGroups(fleet, "large") + countOpenGroups(fleet, "small");
+    const auto log = fleet.log.byName;
+    publishWithoutService(fleet);
+    runFleet(fleet, seconds(4));
+    publishAll(fleet);
+    for (int step = 0; step < 100; ++step) {
+        runFleet(fleet, milliseconds(50));
+        BOOST_REQUIRE_EQUAL(countOpenGroups(fleet, "large") + countOpenGroups(fleet, "small"),
+                            before);
+    }
+    for (const auto &[name, record] : log)
+        BOOST_CHECK(record.isWarmUp || fleet.log.byName.contains(name));
+    checkInvariants(fleet);
+}
+
+// A version leaves one model out. Its VMs serve the other one, once their requests have finished.
+BOOST_AUTO_TEST_CASE(vms_of_a_model_that_leaves_the_configuration_stay_idle)
+{
+    EngineFleet fleet = makeServingFleet(2, 1);
+    leaderOf(fleet).planner.demandByModel["small"] = 200;
+    publishWithoutModel(fleet, "large");
+    runFleet(fleet, seconds(10));
+    BOOST_CHECK_EQUAL(countOpenGroups(fleet, "large"), 0);
+    BOOST_CHECK_GE(countOpenGroups(fleet, "small"), 7);
+    publishAll(fleet);
+    runFleet(fleet, seconds(30));
+    checkInvariants(fleet);
+}
+
+// Another program writes one report in the name of a head, without models and group.
+BOOST_AUTO_TEST_CASE(a_report_without_the_state_of_an_engine_frees_a_group)
+{
+    EngineFleet fleet = makeServingFleet(2, 1);
+    const auto log = fleet.log.byName;
+    SimulatedControlVm &leader = leaderOf(fleet);
+    setServices(leader.table, fleet.config, fleet.now);
+    sendReportWithoutGroup(fleet, anyMember(fleet, true), true);
+    runFleet(fleet, seconds(5));
+    for (const auto &[name, record] : log)
+        BOOST_CHECK(record.isWarmUp || fleet.log.byName.contains(name));
+    checkInvariants(fleet);
+}
+
+// As above, but the report has models, as that of an engine without a group. The group may end, but
+// none of its VMs is used before the head or the VM has left it.
+BOOST_AUTO_TEST_CASE(a_report_without_a_group_frees_the_members_of_a_serving_head)
+{
+    EngineFleet fleet = makeServingFleet(2, 1);
+    fleet.maxOrderDelay = milliseconds(20);
+    sendReportWithoutGroup(fleet, anyMember(fleet, true), false);
+    runFleet(fleet, seconds(5));
+    checkInvariants(fleet);
+}
+
 BOOST_AUTO_TEST_CASE(the_log_assigns_a_vm_to_two_groups)
 {
     const GroupRecord first{"g1", 7, "drafts", "large", "fabric-0", false, {{"a", 1}, {"b", 1}}};
