libgateway: control VMs take messages of peers on links that they opened

Since a control VM dropped all that its peers sent on links that it had opened, since nodes say hello only on links that they open: reports and departures of endpoints, topology.

Only accepted links wait for a hello now. What a node may send before it is bounded as before: one message of 256 KB, then dropped.

--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -196,7 +196,7 @@
     auto link = std::make_shared<Link>(
             std::move(channel), LinkTimeout,
             [this](Link &sender, LinkMessage &&message) {
-                handleLinkMessage(sender, std::move(message));
+                handleAcceptedMessage(sender, std::move(message));
             },
             [this](Link &ended, const std::string &reason) { handleLinkEnd(ended, reason); });
     acceptedLinks_[link.get()] = link;
@@ -211,10 +211,16 @@
     link.send(reports_.makeFullUpdate());
 }
 
+// Anybody may connect to this control VM, so a node first says who it is. The peers of the links
+// that this control VM opened are known by their addresses and send no hello there.
+void ControlProcess::handleAcceptedMessage(Link &link, LinkMessage &&message)
+{
+    if (link.hasHello || std::holds_alternative<LinkHello>(message))
+        handleLinkMessage(link, std::move(message));
+}
+
 void ControlProcess::handleLinkMessage(Link &link, LinkMessage &&message)
 {
-    if (!link.hasHello && !std::holds_alternative<LinkHello>(message))
-        return;
     if (auto *hello = std::get_if<LinkHello>(&message)) {
         link.peerHello = std::move(*hello);
         if (!std::exchange(link.hasHello, true))
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -41,6 +41,7 @@
     // Links to entries and other control VMs.
     void acceptLink(ChannelPointer channel);
     void greet(Link &link);
+    void handleAcceptedMessage(Link &link, LinkMessage &&message);
     void handleLinkMessage(Link &link, LinkMessage &&message);
     void applyEntryHello(const LinkHello &hello);
 
--- a/tests/crowds/gatewaysystem.cpp
+++ b/tests/crowds/gatewaysystem.cpp
@@ -14,6 +14,7 @@
 
 #include <sys/prctl.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -29,8 +30,10 @@
 namespace {
 
 constexpr const char *EntryAddress = "127.46.0.1";
-constexpr const char *ControlAddress = "127.46.0.2";
+constexpr const char *ControlPrefix = "127.46.1.";
+constexpr const char *EnginePrefix = "127.46.2.";
 constexpr const char *EndpointAddress = "127.46.0.3:8000";
+constexpr std::size_t SeedCount = 3;
 constexpr const char *Host = "crowds.example";
 constexpr const char *EndpointName = "e1";
 constexpr auto HeartbeatInterval = std::chrono::milliseconds(300);
@@ -66,10 +69,14 @@
                         {"max-body-bytes", options.maxBodyBytes},
                         {"header-timeout-ms", options.headerTimeout.count()},
                         {"idle-timeout-ms", options.idleTimeout.count()}};
-    return json::serialize(json::object{{"version", 1},
-                                        {"routes", json::array{route}},
-                                        {"services", json::array{service}},
-                                        {"limits", limits}});
+    json::array routes{route};
+    json::array services{service};
+    if (options.engines > 0) {
+        routes.push_back(StandInEngine::makeRoute(Host));
+        services.push_back(StandInEngine::makeService());
+    }
+    return json::serialize(json::object{
+            {"version", 1}, {"routes", routes}, {"services", services}, {"limits", limits}});
 }
 
 // Returns the value in bytes of a line of /proc/PID/status, which counts in kB.
@@ -142,16 +149,35 @@
     return node.address + ":" + std::to_string(port);
 }
 
+asio::awaitable<double> readMetric(const GatewayNode &node, std::string name)
+{
+    HttpCall call;
+    call.address = addressOf(node, MetricsPort);
+    call.method = "GET";
+    call.target = "/metrics";
+    const HttpCallResult result = co_await callHttp(std::move(call));
+    const std::string prefix = "trefoil_" + name + " ";
+    std::istringstream lines(result.body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(prefix))
+            co_return std::stod(line.substr(prefix.size()));
+    }
+    co_return -1;
+}
+
 GatewaySystem::GatewaySystem(asio::io_context &context, std::string folder,
                              GatewaySystemOptions options)
     : context_(context)
     , folder_(std::move(folder))
     , options_(options)
 {
-    entry.role = "entry";
+    entry.name = entry.role = "entry";
     entry.address = EntryAddress;
-    control.role = "control";
-    control.address = ControlAddress;
+    for (std::size_t i = 1; i <= options_.controlVms; ++i) {
+        const std::string number = std::to_string(i);
+        controls.push_back({"control-" + number, "control", ControlPrefix + number, nullptr});
+    }
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
 }
@@ -161,7 +187,10 @@
     endpointContext_.stop();
     if (endpointThread_.joinable())
         endpointThread_.join();
-    for (GatewayNode *node : {&entry, &control}) {
+    std::vector<GatewayNode *> nodes{&entry};
+    for (GatewayNode &control : controls)
+        nodes.push_back(&control);
+    for (GatewayNode *node : nodes) {
         if (!isRunning(*node))
             continue;
         node->process->terminate();
@@ -169,27 +198,34 @@
     }
 }
 
+std::string GatewaySystem::controlAddress(std::size_t index) const
+{
+    return addressOf(controls[index], ControlPort);
+}
+
 void GatewaySystem::startNode(GatewayNode &node)
 {
-    const std::string path = folder_ + "/" + node.role + ".yaml";
+    const std::string path = folder_ + "/" + node.name + ".yaml";
     std::ofstream file(path);
-    file << "node:\n  name: " << node.role
+    file << "node:\n  name: " << node.name
          << "\n  region: crowds\n  domain: d1\n  address: " << node.address
          << "\n  internal_port: " << InternalPort
-         << "\n  first_start: true\n  dialect: platform\n  seeds:\n    - "
-         << quoted(addressOf(control, ControlPort))
-         << "\nlisten:\n  metrics: " << quoted(addressOf(node, MetricsPort)) << "\n";
+         << "\n  first_start: true\n  dialect: platform\n  seeds:\n";
+    for (std::size_t i = 0; i < std::min(controls.size(), SeedCount); ++i)
+        file << "    - " << quoted(controlAddress(i)) << "\n";
+    file << "listen:\n  metrics: " << quoted(addressOf(node, MetricsPort)) << "\n";
     if (node.role == "control")
         file << "  control: " << quoted(addressOf(node, ControlPort))
              << "\n  entry_list: " << quoted(addressOf(node, EntryListPort))
-             << "\ndata: " << quoted(folder_ + "/data") << "\n";
+             << "\ndata: " << quoted(folder_ + "/data-" + node.name) << "\n";
     else
         file << "  callers: " << quoted(addressOf(node, CallerPort))
              << "\n  readiness: " << quoted(addressOf(node, ReadinessPort)) << "\n";
     file << "limits:\n  connections: " << options_.connections
-         << "\n  memory: " << options_.memoryMb << "\n  tolerated_losses: 0\n  heartbeat: 300ms\n";
+         << "\n  memory: " << options_.memoryMb
+         << "\n  tolerated_losses: " << (controls.size() - 1) / 2 << "\n  heartbeat: 300ms\n";
     file.close();
-    std::FILE *log = std::fopen((folder_ + "/" + node.role + ".log").c_str(), "a");
+    std::FILE *log = std::fopen((folder_ + "/" + node.name + ".log").c_str(), "a");
     node.process = std::make_unique<process::child>(
             TREFOIL_DAEMON, process::args({"--gateway", node.role, "--settings", path}),
             process::std_out > log, process::std_err > log, process::std_in < process::null,
@@ -204,8 +240,17 @@
             endpointContext_, EndpointAddress, InputCapacity, [this](ChannelPointer channel) {
                 asio::co_spawn(endpointContext_, serveEndpoint(std::move(channel)), asio::detached);
             });
+    for (std::size_t i = 1; i <= options_.engines; ++i) {
+        const std::string number = std::to_string(i);
+        engines.push_back(std::make_unique<StandInEngine>(endpointContext_, "engine-" + number,
+                                                          EnginePrefix + number + ":8000"));
+        engines.back()->reportTo(controlAddress(0));
+    }
+    for (const auto &engine : engines)
+        engine->start();
     endpointThread_ = std::thread([this] { endpointContext_.run(); });
-    startNode(control);
+    for (GatewayNode &control : controls)
+        startNode(control);
     startNode(entry);
     const bool isPublished = co_await publishConfiguration();
     if (!isPublished)
@@ -218,7 +263,7 @@
 {
     for (int tries = 0; tries < MaxTries; ++tries) {
         HttpCall call;
-        call.address = addressOf(control, ControlPort);
+        call.address = controlAddress(static_cast<std::size_t>(tries) % controls.size());
         call.target = "/trefoilrun/configuration/replace";
         call.body = makeConfiguration(options_);
         const HttpCallResult result = co_await callHttp(std::move(call));
@@ -229,11 +274,25 @@
     co_return false;
 }
 
+asio::awaitable<GatewayNode *> GatewaySystem::findLeader()
+{
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        for (GatewayNode &control : controls) {
+            const double isLeader =
+                    isRunning(control) ? co_await readMetric(control, "is_leader") : 0;
+            if (isLeader == 1)
+                co_return &control;
+        }
+        co_await sleepFor(RetryDelay);
+    }
+    co_return nullptr;
+}
+
 asio::awaitable<bool> GatewaySystem::readConfiguration()
 {
     for (int tries = 0; tries < MaxTries; ++tries) {
         HttpCall call;
-        call.address = addressOf(control, ControlPort);
+        call.address = controlAddress(0);
         call.method = "GET";
         call.target = "/trefoilrun/configuration/read";
         const HttpCallResult result = co_await callHttp(std::move(call));
@@ -266,7 +325,7 @@
     const std::uint64_t startedAtMs = wallTimeMs();
     for (std::uint64_t sequence = 1;; ++sequence) {
         HttpCall call;
-        call.address = addressOf(control, ControlPort);
+        call.address = controlAddress(0);
         call.target = std::string("/trefoilrun/instances/") + EndpointName + "/heartbeat";
         call.body = json::serialize(json::object{{"service", "ledger"},
                                                  {"address", EndpointAddress},
--- a/tests/crowds/gatewaysystem.h
+++ b/tests/crowds/gatewaysystem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crowds/standinengine.h"
 #include "libgateway/endpointpool.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -9,9 +10,10 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
-// A system of one control VM and one entry, run as real processes on loopback addresses, with a
-// plain endpoint that the test plays.
+// A system of control VMs and one entry, run as real processes on loopback addresses, with a plain
+// endpoint and engines that the test plays.
 
 namespace Trefoil {
 
@@ -21,6 +23,12 @@
     std::size_t connections = 400;
     std::size_t memoryMb = 96;
 
+    // The first three are the seeds of all nodes.
+    std::size_t controlVms = 1;
+
+    // Engines of the service `drafts`, which form groups of two.
+    std::size_t engines = 0;
+
     // Limits of requests in the published configuration.
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
@@ -43,6 +51,7 @@
 // A process of the system.
 struct GatewayNode
 {
+    std::string name;
     std::string role;    // "entry" or "control"
     std::string address; // IP address without a port
     std::unique_ptr<boost::process::child> process;
@@ -63,6 +72,10 @@
 
 std::string addressOf(const GatewayNode &node, std::uint16_t port);
 
+// Returns the value of a metric without labels, -1 when the node does not answer or has no such
+// one.
+boost::asio::awaitable<double> readMetric(const GatewayNode &node, std::string name);
+
 // Target of requests that the endpoint answers at once with a few bytes.
 constexpr std::string_view OrdinaryTarget = "/book/ordinary";
 
@@ -94,14 +107,19 @@
     // Reads the configuration until it is answered. Returns false when it never is.
     boost::asio::awaitable<bool> readConfiguration();
 
+    // Returns the control VM that leads, or null.
+    boost::asio::awaitable<GatewayNode *> findLeader();
+
     GatewayNode entry;
-    GatewayNode control;
+    std::vector<GatewayNode> controls;
+    std::vector<std::unique_ptr<StandInEngine>> engines;
 
     // Bytes that the endpoint sends on each connection on which no request waits.
     std::size_t unsolicitedBytes = 0;
 
 private:
     void startNode(GatewayNode &node);
+    std::string controlAddress(std::size_t index) const;
     boost::asio::awaitable<bool> publishConfiguration();
     boost::asio::awaitable<void> sendHeartbeats();
     boost::asio::awaitable<void> serveEndpoint(ChannelPointer channel);
--- a/tests/crowds/test_crowds.cpp
+++ b/tests/crowds/test_crowds.cpp
@@ -83,7 +83,7 @@
     asio::awaitable<void> playCrowd(CrowdScript script)
     {
         UsageWatch entryWatch(context, system->entry);
-        UsageWatch controlWatch(context, system->control);
+        UsageWatch controlWatch(context, system->controls[0]);
         Crowd crowd(context, std::move(script));
         co_await crowd.run();
         const bool isServing = co_await system->serveOneRequest();
@@ -91,7 +91,7 @@
         const bool isReadable = co_await system->readConfiguration();
         BOOST_CHECK(isReadable);
         checkUsage(system->entry, entryWatch.peak());
-        checkUsage(system->control, controlWatch.peak());
+        checkUsage(system->controls[0], controlWatch.peak());
         crowd.close();
     }
 
@@ -287,7 +287,7 @@
                        data::make(HttpPorts), listenPort)
 {
     run([&]() -> asio::awaitable<void> {
-        const GatewayNode &node = listenPort.isEntry ? system->entry : system->control;
+        const GatewayNode &node = listenPort.isEntry ? system->entry : system->controls[0];
         CrowdScript script{
                 addressOf(node, listenPort.port), 40, ChunkedHead, makeChunk(60'000), 120, false};
         co_await playCrowd(std::move(script));
@@ -298,7 +298,7 @@
                        data::make(HttpPorts), listenPort)
 {
     run([&]() -> asio::awaitable<void> {
-        const GatewayNode &node = listenPort.isEntry ? system->entry : system->control;
+        const GatewayNode &node = listenPort.isEntry ? system->entry : system->controls[0];
         CrowdScript script{addressOf(node, listenPort.port), 600, "", "", 0, false};
         co_await playCrowd(std::move(script));
     });
@@ -310,7 +310,7 @@
     run([&]() -> asio::awaitable<void> {
         // The first bytes announce a message of 16 MB.
         const std::string length("\0\0\0\1", 4);
-        CrowdScript script{addressOf(system->control, InternalPort),
+        CrowdScript script{addressOf(system->controls[0], InternalPort),
                            300,
                            length,
                            std::string(50'000, 'x'),
@@ -323,7 +323,7 @@
 BOOST_FIXTURE_TEST_CASE(idle_links_take_all_descriptors, CrowdFixture)
 {
     run([&]() -> asio::awaitable<void> {
-        CrowdScript script{addressOf(system->control, InternalPort), 600, "", "", 0, false};
+        CrowdScript script{addressOf(system->controls[0], InternalPort), 600, "", "", 0, false};
         co_await playCrowd(std::move(script));
     });
 }
