soak: endpoints that keep to one control VM, reports without the state of an engine

Half of them now keep to the control VM that answered first. Engines now report models, as the protocol says of all that report a group.

--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -102,6 +102,9 @@
     // Address to which the system asked the endpoint to send its reports.
     std::string reportAddress;
 
+    // The endpoint keeps to the first control VM that answers it, whatever it is asked for.
+    bool keepsReportAddress = false;
+
     double lostResponseRatio = DefaultLostResponseRatio;
 
     // Time at which a control VM acknowledged that this incarnation leaves.
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -424,6 +424,7 @@
     object["born"] = report.startedAtMs;
     if (!report.fabric.empty()) {
         object["domain"] = report.fabric;
+        object["models"] = json::array{};
         json::array staged;
         for (const std::string &model : report.stagedModels)
             staged.emplace_back(model);
@@ -455,19 +456,26 @@
 {
     constexpr int attempts = 3;
     for (int attempt = 0; attempt < attempts; ++attempt) {
+        const std::string address = endpoint.reportAddress.empty()
+                                            ? addressOf(randomNode(soak, "control"), ControlPort)
+                                            : endpoint.reportAddress;
         const HttpCallResult answer =
-                co_await postReport(soak, endpoint.reportAddress, report.id, encodeReport(report));
+                co_await postReport(soak, address, report.id, encodeReport(report));
         if (answer.status != 200) {
             endpoint.reportAddress.clear();
             continue;
         }
+        if (endpoint.keepsReportAddress) {
+            endpoint.reportAddress = address;
+            co_return;
+        }
         json::error_code error;
         const json::value root = json::parse(answer.body, error);
-        const json::value *address = !error && root.is_object()
-                                             ? root.get_object().if_contains("heartbeat-addr")
-                                             : nullptr;
-        if (address)
-            endpoint.reportAddress = std::string(address->as_string());
+        const json::value *next = !error && root.is_object()
+                                          ? root.get_object().if_contains("heartbeat-addr")
+                                          : nullptr;
+        if (next)
+            endpoint.reportAddress = std::string(next->as_string());
         co_return;
     }
 }
@@ -491,6 +499,7 @@
     const std::string host = std::to_string(index + 1) + ":" + std::to_string(EndpointPort);
     endpoint->index = index;
     endpoint->isEngine = isEngine;
+    endpoint->keepsReportAddress = (soak.options.seed + index) % 2 == 0;
     endpoint->address = network + ".3." + host;
     endpoint->proxyAddress = network + ".4." + host;
     endpoint->proxy =
@@ -649,6 +658,15 @@
 
 asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint)
 {
+    if (endpoint.isEngine && isRunning(endpoint) && randomBelow(soak, 3) == 0) {
+        // Says nothing of what only engines report.
+        EndpointReport incomplete = soak.fleet.engines.at(endpoint.id).report;
+        ++incomplete.sequence;
+        incomplete.fabric.clear();
+        incomplete.membership.reset();
+        co_await postReport(soak, {}, incomplete.id, encodeReport(incomplete));
+        co_return;
+    }
     EndpointReport report;
     report.id = randomBelow(soak, 2) == 0 ? endpoint.id : "foreign";
     report.service = "unheard-of";
