--- a/src/libgateway/relayrequest.cpp
+++ b/src/libgateway/relayrequest.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::string_view AttemptOutcomeNames[] = {
-        "answered", "failed",    "not run",   "unknown",   "stalled",
+        "answered", "failed",    "not run",   "unknown",   "moved",      "stalled",
         "stuck",    "withdrawn", "no memory", "timed out", "caller gone"};
 
 } // namespace
--- a/src/libgateway/relayrequest.h
+++ b/src/libgateway/relayrequest.h
@@ -3,6 +3,7 @@
 #include "libgateway/entryprocess.h"
 #include "libgateway/eventstream.h"
 
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -76,6 +77,9 @@
     // The endpoint may have executed the request.
     Unknown,
 
+    // Another endpoint goes on with the stream, which got no event for too long.
+    Moved,
+
     // No request of this entry makes progress at the endpoint.
     EndpointStalled,
 
@@ -94,6 +98,21 @@
     CallerDisconnected,
 };
 
+// A request that was sent to one endpoint.
+struct EndpointAttempt
+{
+    Placement placement;
+    EndpointConnection connection;
+    EndpointLoad load;
+    TimePoint sentAt{};
+    bool isWritten = false;
+
+    // What `mayHaveExecuted` of the request was before the attempt.
+    bool mayHaveExecutedBefore = false;
+};
+
+using EndpointAttemptPointer = std::unique_ptr<EndpointAttempt>;
+
 // State of a request across all its attempts.
 struct RelayProgress
 {
@@ -103,6 +122,10 @@
     bool isResponseHeadSent = false;
     std::optional<TimePoint> firstByteAt;
 
+    // Attempt at another endpoint to go on with a stream that gets no events. The stream stays at
+    // its endpoint until the other one sends an event.
+    EndpointAttemptPointer takeover;
+
     // Whether the current attempt received an event or a whole answer.
     bool hasBegun = false;
 
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/responserelay.h"
 
+#include "libgateway/endpointattempt.h"
 #include "libgateway/entryanswers.h"
 #include "libgateway/entryquarantine.h"
 #include "libgateway/entrystalls.h"
@@ -29,6 +30,8 @@
 // arrived is read first.
 constexpr auto StallConfirmationDelay = std::chrono::milliseconds(50);
 
+constexpr const char *StreamStalled = "no event for too long";
+
 constexpr std::size_t MaxResponseHeaderBytes = 64 * 1024;
 constexpr std::size_t MaxResponseBodyBytes = 8 * 1024 * 1024;
 constexpr std::size_t MaxEventBytes = 256 * 1024;
@@ -50,14 +53,6 @@
     return verdict && !verdict->verdict.hadAnswer;
 }
 
-HttpParser makeResponseParser(const RelayRequest &request)
-{
-    HttpParser parser(HttpMessageKind::Response, MaxResponseHeaderBytes, MaxResponseBodyBytes);
-    if (request.head.method == "HEAD")
-        parser.expectNoBody();
-    return parser;
-}
-
 struct StallDeadlines
 {
     // The endpoint is stalled if no request of this entry makes progress at the endpoint until
@@ -97,20 +92,10 @@
 // Stores the reason of the stall and returns the outcome of the attempt.
 AttemptOutcome recordStall(RelayProgress &progress, bool isEndpointStalled)
 {
-    progress.lastReason = progress.hasBegun ? "no event for too long" : "no first event";
+    progress.lastReason = "no first event";
     return isEndpointStalled ? AttemptOutcome::EndpointStalled : AttemptOutcome::RequestStalled;
 }
 
-// True for an interim response and for a late response to an earlier request.
-bool isUnrelatedResponse(const RelayContext &context, const RelayRequest &request,
-                         const HttpHead &head)
-{
-    if (head.status < 200)
-        return true;
-    const std::string *id = findField(head, context.state.dialect.headers.requestId);
-    return id && *id != request.id;
-}
-
 // True for a success that the endpoint itself produced, which has a digest and no content
 // encoding.
 bool isVerifiedSuccess(const RelayContext &context, const HttpHead &head)
@@ -120,11 +105,6 @@
            && !findField(head, "content-encoding");
 }
 
-bool isEventStream(const RelayContext &context, const RelayRequest &request, const HttpHead &head)
-{
-    return request.route->kind == RouteKind::Stream && isVerifiedSuccess(context, head);
-}
-
 // Returns whether a stream whose response has ended is incomplete: it ended inside an event, or
 // only the end of the connection ended it and it had no event.
 bool isBrokenOff(const RelayProgress &progress, const HttpParser &parser, bool hasEvents)
@@ -255,12 +235,35 @@
 
 } // namespace
 
+HttpParser makeResponseParser(const RelayRequest &request)
+{
+    HttpParser parser(HttpMessageKind::Response, MaxResponseHeaderBytes, MaxResponseBodyBytes);
+    if (request.head.method == "HEAD")
+        parser.expectNoBody();
+    return parser;
+}
+
+bool isUnrelatedResponse(const RelayContext &context, const RelayRequest &request,
+                         const HttpHead &head)
+{
+    if (head.status < 200)
+        return true;
+    const std::string *id = findField(head, context.state.dialect.headers.requestId);
+    return id && *id != request.id;
+}
+
+bool isEventStream(const RelayContext &context, const RelayRequest &request, const HttpHead &head)
+{
+    return request.route->kind == RouteKind::Stream && isVerifiedSuccess(context, head);
+}
+
 asio::awaitable<AttemptOutcome> relayResponse(RelayContext &context, RelayRequest &request,
-                                              RelayProgress &progress, const Placement &placement,
-                                              EndpointConnection &connection, EndpointLoad &load)
+                                              RelayProgress &progress, EndpointAttempt &attempt)
 {
+    const Placement &placement = attempt.placement;
+    EndpointConnection &connection = attempt.connection;
     Channel &endpoint = *connection.channel;
-    const TimePoint sentAt = RuntimeClock::now();
+    const TimePoint sentAt = attempt.sentAt;
     progress.lastEventAt = sentAt;
     progress.eventFilter.incompleteEvent.clear();
     std::optional<TimePoint> overdueSince;
@@ -296,9 +299,11 @@
         if (isParsed && isStream) {
             const std::string bytes = parser.takeBody();
             const bool isForwarded = co_await forwardEvents(context, request, progress, parser,
-                                                            bytes, placement, load);
+                                                            bytes, placement, attempt.load);
             if (!isForwarded)
                 co_return AttemptOutcome::CallerDisconnected;
+            if (progress.takeover && progress.lastEventAt > progress.takeover->sentAt)
+                cancelTakeover(context, request, progress);
         }
         if (isParsed && parser.isDone() && isStream
             && isBrokenOff(progress, parser, progress.hasBegun)) {
@@ -330,6 +335,12 @@
             progress.lastReason = now < request.deadline ? "the entry stops" : "the time is over";
             co_return AttemptOutcome::TimedOut;
         }
+        if (isTakenOver(context, request, progress)) {
+            if (!isStallReported)
+                recordAttempt(context.state.placement, placement.endpoint, EndpointResult::Failed,
+                              {}, now);
+            co_return AttemptOutcome::Moved;
+        }
         const StallDeadlines stall = computeStallDeadlines(context, request, progress, placement);
         const TimePoint stallDeadline = std::min(stall.endpointStalledAt, stall.requestStalledAt);
         // If this process was paused, data that arrived meanwhile is read before a stall
@@ -339,19 +350,26 @@
         else if (!overdueSince)
             overdueSince = now;
         else if (now >= *overdueSince + StallConfirmationDelay) {
-            // A stream that has begun stays at its endpoint if no other one can take it. One that
-            // has not is given up, so that its caller can try elsewhere.
+            // A stream that has begun stays at its endpoint until another one has taken it. One
+            // that has not is given up, so that its caller can try elsewhere.
             const bool isOverdue = now >= stall.requestStalledAt;
-            const bool mustEnd = isOverdue && !progress.hasBegun;
-            if (mustEnd
-                || canMove(context.state, makePlacementRequest(request, progress, now), now))
-                co_return recordStall(progress, now >= stall.endpointStalledAt);
-            if (isOverdue && now >= stall.endpointStalledAt && !isStallReported) {
+            const bool isEndpointOverdue = now >= stall.endpointStalledAt;
+            const bool isMovable =
+                    !progress.takeover
+                    && canMove(context.state, makePlacementRequest(request, progress, now), now);
+            const bool hasStreamBegun = progress.hasBegun || progress.isResponseHeadSent;
+            if (!hasStreamBegun && (isOverdue || isMovable))
+                co_return recordStall(progress, isEndpointOverdue);
+            if (isEndpointOverdue && (isOverdue || isMovable) && !isStallReported) {
                 isStallReported = true;
-                reportStall(context.state, placement.endpoint, request.id, "no event for too long",
-                            now);
+                reportStall(context.state, placement.endpoint, request.id, StreamStalled, now);
             }
             overdueSince = now;
+            if (isMovable) {
+                progress.lastReason = StreamStalled;
+                co_await startTakeover(context, request, progress);
+                continue;
+            }
         }
         co_await context.signal.wait(std::min(
                 lastMoment, overdueSince ? *overdueSince + StallConfirmationDelay : stallDeadline));
--- a/src/libgateway/responserelay.h
+++ b/src/libgateway/responserelay.h
@@ -12,9 +12,18 @@
 constexpr std::size_t ResponseInputCapacity = 256 * 1024;
 
 // Reads the endpoint's response and forwards it to the caller.
-boost::asio::awaitable<AttemptOutcome>
-relayResponse(RelayContext &context, RelayRequest &request, RelayProgress &progress,
-              const Placement &placement, EndpointConnection &connection, EndpointLoad &load);
+boost::asio::awaitable<AttemptOutcome> relayResponse(RelayContext &context, RelayRequest &request,
+                                                     RelayProgress &progress,
+                                                     EndpointAttempt &attempt);
+
+HttpParser makeResponseParser(const RelayRequest &request);
+
+// True for an interim response and for a late response to an earlier request.
+bool isUnrelatedResponse(const RelayContext &context, const RelayRequest &request,
+                         const HttpHead &head);
+
+// True for the response that the endpoint itself produced to a stream request.
+bool isEventStream(const RelayContext &context, const RelayRequest &request, const HttpHead &head);
 
 // Forwards a response with its complete body. Returns whether the connection stays open.
 boost::asio::awaitable<bool> forwardResponse(RelayContext &context, const RelayRequest &request,
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -55,6 +55,7 @@
         {Event::HoldOffInvalid, Warning, "an endpoint named a time that cannot be used"},
         {Event::MemoryExhausted, Warning, "connections gave up their memory"},
         {Event::MemoryRefused, Warning, "a connection or request got no memory"},
+        {Event::StreamTakeover, Info, "another endpoint may go on with a stream"},
         {Event::EndpointChanged, Info, "an endpoint changed"},
         {Event::EndpointReportInvalid, Warning, "an endpoint's report cannot be used"},
         {Event::GroupOrdered, Info, "the leader sent an order to an engine"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -51,6 +51,7 @@
     HoldOffInvalid = 514,
     MemoryExhausted = 515,
     MemoryRefused = 516,
+    StreamTakeover = 517,
     EndpointChanged = 600,
     EndpointReportInvalid = 601,
     GroupOrdered = 602,
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1339,4 +1339,136 @@
     }
 }
 
+namespace {
+
+// Lets the first endpoint send one event, and the others and the end after a silence.
+void interruptStream(ScriptedEndpoint &endpoint, milliseconds silence)
+{
+    endpoint.responses.assign(8, makeStreamHead() + toChunk(FirstEvent));
+    endpoint.repeatedPiece = toChunk(SecondEvent) + "0\r\n\r\n";
+    endpoint.pieceDelay = silence;
+    endpoint.maxPieces = 1;
+}
+
+} // namespace
+
+// An engine preempts a stream for 1.9 s. The other one is full and says so, and the entry closed
+// the connection of the caller. An engine that says that it leaves keeps its streams as well, also
+// while the entry stops.
+BOOST_AUTO_TEST_CASE(silent_stream_is_given_up_before_another_endpoint_has_taken_it)
+{
+    enum class Variant { Preempted, Leaving, Broken, Stopping };
+    for (const Variant variant :
+         {Variant::Preempted, Variant::Leaving, Variant::Broken, Variant::Stopping}) {
+        RelayFixture fixture;
+        fixture.publish(RouteKind::Stream, 2);
+        interruptStream(fixture.first, milliseconds(1900));
+        if (variant == Variant::Leaving)
+            fixture.first.responses = {withField(makeStreamHead(), "Server-Leaving: 1")
+                                       + toChunk(FirstEvent)};
+        fixture.second.responses.assign(3, makeRefusal(NotExecutedField + "Retry-After: 0.1\r\n"));
+        if (variant == Variant::Broken)
+            fixture.second.responses.assign(3, "no HTTP\r\n\r\n");
+        RuntimeTimer timer(fixture.context, RuntimeClock::now() + milliseconds(300));
+        timer.async_wait([&](const boost::system::error_code &) {
+            if (variant == Variant::Stopping)
+                fixture.state.stop = StopPlan{RuntimeClock::now(), seconds(8)};
+        });
+        fixture.exchange(makeRequest(KeyField, "{}"), "\r\n0\r\n\r\n");
+        BOOST_TEST_CONTEXT("variant " << static_cast<int>(variant))
+        {
+            BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+            BOOST_CHECK(contains(fixture.callerInput, "\r\n0\r\n\r\n"));
+            BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+            BOOST_CHECK_LE(fixture.second.receivedHeads.size(), 1);
+            BOOST_CHECK_EQUAL(fixture.state.activeRequestsByModel[""], 0);
+        }
+    }
+}
+
+// The other endpoint takes the stream, and the first one is then told to stop.
+BOOST_AUTO_TEST_CASE(stream_that_was_taken_over_stays_at_both_endpoints)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    interruptStream(fixture.first, milliseconds(4000));
+    fixture.second.responses = {makeStreamHead() + toChunk(SecondEvent) + "0\r\n\r\n"};
+    fixture.exchange(makeRequest(KeyField, "{}"), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+    BOOST_REQUIRE_EQUAL(fixture.second.receivedHeads.size(), 1);
+    BOOST_CHECK_EQUAL(*findField(fixture.second.receivedHeads[0], "Last-Event-Id"), "1");
+    BOOST_CHECK_EQUAL(fixture.state.activeRequestsByModel[""], 0);
+}
+
+// The first endpoint goes on before the other one sends an event, which would be a second copy.
+BOOST_AUTO_TEST_CASE(stream_that_goes_on_is_joined_with_its_takeover)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    interruptStream(fixture.first, milliseconds(900));
+    fixture.second.responses = {makeStreamHead()};
+    fixture.second.repeatedPiece = toChunk(SecondEvent) + "0\r\n\r\n";
+    fixture.second.pieceDelay = milliseconds(1500);
+    fixture.second.maxPieces = 1;
+    fixture.exchange(makeRequest(KeyField, "{}"), "\r\n0\r\n\r\n");
+    const std::size_t at = fixture.callerInput.find(SecondEvent);
+    BOOST_REQUIRE_NE(at, std::string::npos);
+    BOOST_CHECK_EQUAL(fixture.callerInput.find(SecondEvent, at + 1), std::string::npos);
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+    BOOST_CHECK_EQUAL(fixture.state.activeRequestsByModel[""], 0);
+}
+
+// Four streams are silent at once, and the other endpoint has a place for one of them.
+BOOST_AUTO_TEST_CASE(streams_that_get_no_place_elsewhere_are_cut)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    addLoad(fixture.state.placement, "e2", {6, 0});
+    interruptStream(fixture.first, milliseconds(1900));
+    fixture.second.responses.assign(8, makeRefusal(NotExecutedField));
+    fixture.second.responses[0] = makeStreamHead() + toChunk(SecondEvent) + "0\r\n\r\n";
+    constexpr int streams = 4;
+    int whole = 0;
+    const auto runStream = [&]() -> asio::awaitable<void> {
+        std::string error;
+        const ChannelPointer channel = co_await connectChannel(
+                "127.0.0.1:" + std::to_string(fixture.entryListener->port()), seconds(1),
+                InputCapacity, error);
+        BOOST_REQUIRE(channel);
+        AsyncCondition signal(channel->executor());
+        channel->setChangeSignal(&signal);
+        co_await channel->write(makeRequest(KeyField, "{}"), RuntimeClock::now() + seconds(5));
+        while (!channel->isEnded() && !contains(channel->input(), "\r\n0\r\n\r\n")) {
+            channel->resumeReading();
+            co_await signal.wait();
+        }
+        whole += contains(channel->input(), SecondEvent)
+                                 && contains(channel->input(), "\r\n0\r\n\r\n")
+                         ? 1
+                         : 0;
+        channel->setChangeSignal(nullptr);
+        channel->close();
+    };
+    for (int i = 0; i < streams; ++i)
+        asio::co_spawn(fixture.context, runStream(), asio::detached);
+    fixture.context.run_for(seconds(5));
+    BOOST_CHECK_EQUAL(whole, streams);
+    BOOST_CHECK_GE(fixture.second.receivedHeads.size(), 2);
+}
+
+// The endpoint of a stream is lost, and the only other one takes no requests for 0.4 s.
+BOOST_AUTO_TEST_CASE(stream_without_endpoint_is_cut_before_a_place_is_free)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    fixture.first.responses = {makeStreamHead() + toChunk(FirstEvent)};
+    fixture.first.closesAfterResponse = true;
+    fixture.second.responses = {makeStreamHead() + toChunk(SecondEvent) + "0\r\n\r\n"};
+    recordHoldOff(fixture.state.placement.holdOffs, "e2", 1, milliseconds(400),
+                  fixture.state.placement.rng, RuntimeClock::now());
+    fixture.exchange(makeRequest(KeyField, "{}"), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+}
+
 } // namespace Trefoil
