libfleet: a departure counts for each life that had started when it came (DRAIN)

The call and the answer do not say which life leaves, and the latest known one was assumed.

makeDepartureNotice() now decides for calls, reports and answers: one that does not name its life counts for all that had started when the endpoint was reached, that is when the call arrived or when the connection of the answer was opened. The 30 s in which an unknown endpoint repeated its departure are gone, since a repeat covers the same lives.

--- a/src/libfleet/departures.cpp
+++ b/src/libfleet/departures.cpp
@@ -4,6 +4,13 @@
 
 namespace Trefoil {
 
+DepartureNotice makeDepartureNotice(const LeavingAnnouncement &announcement)
+{
+    if (announcement.namedStartMs != 0)
+        return {announcement.endpoint, announcement.namedStartMs};
+    return {announcement.endpoint, std::max(announcement.knownStartMs, announcement.reachedAtMs)};
+}
+
 DepartureOutcome recordDeparture(DepartureTable &table, const DepartureNotice &notice,
                                  TimePoint now)
 {
--- a/src/libfleet/departures.h
+++ b/src/libfleet/departures.h
@@ -40,6 +40,22 @@
     bool operator==(const DepartureNotice &) const = default;
 };
 
+// An announcement as it arrives: in a call, in a report or in an answer.
+struct LeavingAnnouncement
+{
+    EndpointId endpoint;
+    std::uint64_t namedStartMs = 0; // start of the incarnation that leaves, 0 if it does not say
+    std::uint64_t knownStartMs =
+            0; // start of the latest incarnation that it may come from and is known
+    // Time at which the endpoint was reached. Whichever incarnation announced this had started.
+    std::uint64_t reachedAtMs = 0;
+};
+
+// Returns the notice of an announcement. One that does not name its incarnation counts for all that
+// had started when the endpoint was reached: an endpoint that starts again under its id may leave
+// before its first report arrives.
+DepartureNotice makeDepartureNotice(const LeavingAnnouncement &announcement);
+
 enum class DepartureOutcome : std::uint8_t {
     Known,
     Learned,
--- a/src/libgateway/endpointpool.h
+++ b/src/libgateway/endpointpool.h
@@ -23,6 +23,9 @@
     std::string endpoint;
     std::uint64_t startedAtMs = 0;
 
+    // Unix time at which the connection was opened, in milliseconds.
+    std::uint64_t connectedAtMs = 0;
+
     // The connection is not used after this time, because the endpoint may close it.
     TimePoint idleDeadline{};
 
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -26,9 +26,6 @@
 // Endpoints turn to another control VM when they have waited one second for an answer.
 constexpr auto ConfirmationTimeout = std::chrono::milliseconds(850);
 
-// A departure of an unknown endpoint within this time after another one repeats it.
-constexpr auto RepeatedDepartureTime = std::chrono::seconds(30);
-
 constexpr std::size_t MaxDeparturesPerProposal = 1000;
 constexpr std::size_t MaxEndpointIdBytes = 256;
 
@@ -127,11 +124,11 @@
         logEvent(Event::EndpointReportInvalid, {{"endpoint", endpoint}, {"error", *error}});
         co_return makeErrorResponse(400, *error);
     }
-    std::uint64_t startedAtMs = std::get<std::uint64_t>(decoded);
-    if (startedAtMs == 0)
-        startedAtMs = presentIncarnation(endpoint);
-    recordNotice({endpoint, startedAtMs}, "departure");
-    const bool isConfirmed = co_await confirmDeparture(endpoint, startedAtMs);
+    const DepartureNotice notice =
+            makeDepartureNotice({endpoint, std::get<std::uint64_t>(decoded),
+                                 latestKnownStart(endpoint), unsteppedWallTimeMs()});
+    recordNotice(notice, "departure");
+    const bool isConfirmed = co_await confirmDeparture(endpoint, notice.startedAtMs);
     if (!isConfirmed)
         co_return makeErrorResponse(503, UnconfirmedDeparture);
     ServerResponse response;
@@ -139,18 +136,10 @@
     co_return response;
 }
 
-// Returns the start of the known incarnation. One that is not known has started before now.
-std::uint64_t EndpointReports::presentIncarnation(const EndpointId &endpoint) const
+std::uint64_t EndpointReports::latestKnownStart(const EndpointId &endpoint) const
 {
-    const auto known = findAllEndpoints(table_, endpoint);
-    const auto departed = table_.departures.byEndpoint.find(endpoint);
-    const bool isRepeated =
-            departed != table_.departures.byEndpoint.end()
-            && RuntimeClock::now() - departed->second.announcedAt < RepeatedDepartureTime;
-    if (known.empty())
-        return isRepeated ? departed->second.startedAtMs : wallTimeMs();
     std::uint64_t startedAtMs = 0;
-    for (const Endpoint *incarnation : known)
+    for (const Endpoint *incarnation : findAllEndpoints(table_, endpoint))
         startedAtMs = std::max(startedAtMs, incarnation->report.startedAtMs);
     return startedAtMs;
 }
@@ -237,12 +226,12 @@
 }
 
 void EndpointReports::recordAnswer(const EndpointId &endpoint, std::uint64_t startedAtMs,
-                                   const HttpHead &answer)
+                                   std::uint64_t reachedAtMs, const HttpHead &answer)
 {
     const std::string *leaving = findField(answer, dialect_.headers.leaving);
     // An answer 421 comes from another endpoint at the address.
     if (leaving && answer.status != 421 && dialect_.decodeLeaving(*leaving))
-        recordNotice({endpoint, startedAtMs}, "answer");
+        recordNotice(makeDepartureNotice({endpoint, 0, startedAtMs, reachedAtMs}), "answer");
 }
 
 void EndpointReports::applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted)
--- a/src/libgateway/endpointreports.h
+++ b/src/libgateway/endpointreports.h
@@ -55,9 +55,10 @@
     // Applies the update of a control VM or an entry.
     void applyUpdate(const EndpointUpdate &update);
 
-    // Records what the answer of an incarnation to an order says about it.
+    // Records what the answer of an endpoint to an order says about it. The order was sent to the
+    // incarnation that was known then, at `reachedAtMs`.
     void recordAnswer(const EndpointId &endpoint, std::uint64_t startedAtMs,
-                      const HttpHead &answer);
+                      std::uint64_t reachedAtMs, const HttpHead &answer);
 
     // Applies departures that are in the log.
     void applyLog(std::span<const DepartedEndpoint> departures, bool isCommitted);
@@ -78,7 +79,8 @@
     // endpoint expects the answer.
     boost::asio::awaitable<bool> confirmDeparture(EndpointId endpoint, std::uint64_t startedAtMs);
 
-    std::uint64_t presentIncarnation(const EndpointId &endpoint) const;
+    // Returns the start of the latest known incarnation, 0 when none is known.
+    std::uint64_t latestKnownStart(const EndpointId &endpoint) const;
     void recordNotice(const DepartureNotice &notice, const char *source);
     void proposeDepartures();
     void notifyWaiters();
--- a/src/libgateway/entryanswers.cpp
+++ b/src/libgateway/entryanswers.cpp
@@ -59,7 +59,7 @@
     const std::string *leaving = findField(answer, headers.leaving);
     connection.isLast = leaving && state.dialect.decodeLeaving(*leaving);
     if (connection.isLast)
-        recordLeavingAnswer(state, placement, request.id);
+        recordLeavingAnswer(state, placement, connection.connectedAtMs, request.id);
     recordHoldOffAnswer(state, request, placement, answer);
 }
 
--- a/src/libgateway/entryconnections.cpp
+++ b/src/libgateway/entryconnections.cpp
@@ -48,6 +48,7 @@
     connection.address = placement.address;
     connection.endpoint = placement.endpoint;
     connection.startedAtMs = placement.startedAtMs;
+    connection.connectedAtMs = unsteppedWallTimeMs();
     co_return connection;
 }
 
--- a/src/libgateway/entrydepartures.cpp
+++ b/src/libgateway/entrydepartures.cpp
@@ -33,9 +33,11 @@
     }
 }
 
-void recordLeavingAnswer(EntryState &state, const Placement &placement, const std::string &request)
+void recordLeavingAnswer(EntryState &state, const Placement &placement, std::uint64_t connectedAtMs,
+                         const std::string &request)
 {
-    const DepartureNotice notice{placement.endpoint, placement.startedAtMs};
+    const DepartureNotice notice =
+            makeDepartureNotice({placement.endpoint, 0, placement.startedAtMs, connectedAtMs});
     const DepartureOutcome outcome =
             applyDeparture(state.placement.table, notice, RuntimeClock::now());
     if (outcome != DepartureOutcome::Learned)
--- a/src/libgateway/entrydepartures.h
+++ b/src/libgateway/entrydepartures.h
@@ -9,8 +9,10 @@
 // Applies departures that a control VM passed on.
 void applyDepartures(EntryState &state, std::span<const DepartureNotice> notices);
 
-// Records that an endpoint said in its answer to a request that it leaves.
-void recordLeavingAnswer(EntryState &state, const Placement &placement, const std::string &request);
+// Records that an endpoint said in its answer to a request that it leaves. The connection was
+// opened at `connectedAtMs`.
+void recordLeavingAnswer(EntryState &state, const Placement &placement, std::uint64_t connectedAtMs,
+                         const std::string &request);
 
 // Returns the departures that control VMs have not confirmed.
 std::vector<DepartureNotice> departuresToReport(const EntryState &state);
--- a/src/libgateway/groupleader.cpp
+++ b/src/libgateway/groupleader.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/groupleader.h"
 
+#include "libruntime/clock.h"
 #include "libruntime/events.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -132,6 +133,7 @@
     call.maxResponseBytes = MaxOrderAnswerBytes;
     const Endpoint *endpoint = findEndpoint(reports_.table(), order.endpoint);
     const std::uint64_t startedAtMs = endpoint ? endpoint->report.startedAtMs : 0;
+    const std::uint64_t sentAtMs = unsteppedWallTimeMs();
     ChannelLimits limits = limits_;
     const HttpCallResult result = co_await callHttp(std::move(call), std::move(limits));
     const OrderOutcome outcome = toOrderOutcome(result);
@@ -142,7 +144,7 @@
                                     {"status", std::to_string(result.status)},
                                     {"error", result.error}});
     if (startedAtMs != 0)
-        reports_.recordAnswer(order.endpoint, startedAtMs, result.head);
+        reports_.recordAnswer(order.endpoint, startedAtMs, sentAtMs, result.head);
     if (!planner_ || planner_->term != order.term)
         co_return;
     recordOrderOutcome(*planner_, order.endpoint, order.number, outcome);
--- a/src/libruntime/clock.cpp
+++ b/src/libruntime/clock.cpp
@@ -53,4 +53,12 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
+std::uint64_t unsteppedWallTimeMs()
+{
+    static const std::uint64_t firstWallTimeMs = wallTimeMs();
+    static const TimePoint firstCallAt = RuntimeClock::now();
+    const auto elapsed = (RuntimeClock::now() - firstCallAt) / std::chrono::milliseconds(1);
+    return firstWallTimeMs + static_cast<std::uint64_t>(elapsed);
+}
+
 } // namespace Trefoil
--- a/src/libruntime/clock.h
+++ b/src/libruntime/clock.h
@@ -32,4 +32,8 @@
 // incarnation numbers, the expiry of keys and the time of log lines.
 std::uint64_t wallTimeMs();
 
+// Returns the milliseconds since the Unix epoch as the wall time was at the first call, plus the
+// time since then. It does not follow later jumps of the wall time.
+std::uint64_t unsteppedWallTimeMs();
+
 } // namespace Trefoil
--- a/tests/test_departures.cpp
+++ b/tests/test_departures.cpp
@@ -162,6 +162,67 @@
     BOOST_CHECK_EQUAL(table.notDurable.size(), 3);
 }
 
+// An endpoint starts again under its id and leaves before its first report arrives. The call does
+// not say which incarnation leaves, nor does an answer; a report that drains does.
+BOOST_AUTO_TEST_CASE(the_late_first_report_of_an_incarnation_undoes_its_departure)
+{
+    enum class Source { Call, OrderAnswer, Report };
+    for (const Source source : {Source::Call, Source::OrderAnswer, Source::Report}) {
+        ControlFixture control;
+        control.start(control.reports.handleHeartbeat("e1", ReadyReport));
+        const std::uint64_t startedAtMs = wallTimeMs() - 600;
+        const auto report = [&](const std::string &state, int sequence) {
+            return R"({"service":"bookings","address":"10.0.0.1:80","slots":6,"state":")" + state
+                   + R"(","sequence":)" + std::to_string(sequence) + R"(,"born":)"
+                   + std::to_string(startedAtMs) + "}";
+        };
+        if (source == Source::Call) {
+            control.start(control.reports.handleDeparture("e1", ""));
+        } else if (source == Source::Report) {
+            control.start(control.reports.handleHeartbeat("e1", report("draining", 2)));
+        } else {
+            HttpHead answer;
+            answer.status = 202;
+            answer.fields = {{"Server-Leaving", "1"}};
+            control.reports.recordAnswer("e1", 5, wallTimeMs(), answer);
+            control.reports.tick(RuntimeClock::now());
+        }
+        control.commit();
+        control.start(control.reports.handleHeartbeat("e1", report("ready", 1)));
+        BOOST_TEST_CONTEXT("source " << static_cast<int>(source))
+        {
+            BOOST_CHECK(!isInUse(control.reports.table(), RuntimeClock::now()));
+            // The entries learn the same.
+            EndpointTable entry;
+            for (const EndpointUpdate &update : control.updates) {
+                for (const DepartureNotice &notice : update.departures)
+                    applyDeparture(entry, notice, Start);
+                applyEndpointUpdate(entry, update, Start);
+            }
+            BOOST_CHECK(!isInUse(entry));
+            // Another one that starts later is used.
+            applyReport(entry, makeReport(wallTimeMs() + 1000, 1), {}, Start);
+            BOOST_CHECK(isInUse(entry));
+        }
+    }
+}
+
+// A late draining report of an incarnation that has ended does not take the next one out of use.
+BOOST_AUTO_TEST_CASE(a_late_report_that_drains_takes_a_later_incarnation_out_of_use)
+{
+    EndpointTable table;
+    applyReport(table, makeReport(9, 1), {}, Start);
+    EndpointReport draining = makeReport(5, 8);
+    draining.isDraining = true;
+    applyReport(table, draining, {}, Start);
+    BOOST_CHECK(isInUse(table));
+    // So does an answer of it on a connection that was opened before the next one started.
+    applyDeparture(table, makeDepartureNotice({"e1", 0, 5, 8}), Start);
+    BOOST_CHECK(isInUse(table));
+    applyDeparture(table, makeDepartureNotice({"e1", 0, 5, 9}), Start);
+    BOOST_CHECK(!isInUse(table));
+}
+
 // The process that acknowledges ends at once. Nothing may depend on it alone.
 BOOST_AUTO_TEST_CASE(a_departure_is_acknowledged_before_it_is_committed)
 {
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1212,6 +1212,26 @@
     BOOST_CHECK(fixture.second.receivedHeads.empty());
 }
 
+// The endpoint has started again under its id, and its first report is late. The entry knows only
+// the incarnation before.
+BOOST_AUTO_TEST_CASE(late_first_report_brings_an_endpoint_back_that_said_that_it_leaves)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Idempotent, 2);
+    const std::uint64_t startedAtMs = wallTimeMs();
+    fixture.first.responses = {withField(makeSuccess("a"), "Server-Leaving: 1"),
+                               makeSuccess("again")};
+    fixture.second.responses.assign(3, makeSuccess("b"));
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\na");
+    EndpointTable &table = fixture.state.placement.table;
+    EndpointReport report = findEndpoint(table, "e1")->report;
+    report.startedAtMs = startedAtMs;
+    report.sequence = 1;
+    applyReport(table, report, {}, RuntimeClock::now());
+    fixture.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\nb");
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+}
+
 // The header belongs to another request, to another endpoint at the address, or says no.
 BOOST_AUTO_TEST_CASE(sound_endpoint_counts_as_leaving)
 {
