crowds: answers of endpoints that have no end

The users report that bytes without end from a worker ended the processes that had called it on another system. test_endlessanswers plays twelve kinds of such answers with real processes at 96 MB and checks memory, descriptors, the other service, and that nothing cut is passed on as whole: to requests, streams, resumed streams, orders of control, and before any request.

--- a/src/libgateway/engineends.cpp
+++ b/src/libgateway/engineends.cpp
@@ -41,6 +41,7 @@
     connection.address = placement.address;
     connection.endpoint = placement.endpoint;
     connection.startedAtMs = placement.startedAtMs;
+    connection.connectedAtMs = unsteppedWallTimeMs();
     const TimePoint now = RuntimeClock::now();
     connection.idleDeadline = now + keepAliveTime(HttpHead{});
     state.connectionPool.putIdle(std::move(connection), now);
--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -29,6 +29,7 @@
 constexpr int MaxPolls = 600;
 
 constexpr std::size_t KeptAnswerBytes = 256;
+constexpr std::size_t KeptEndingBytes = 32;
 
 asio::awaitable<void> sleepFor(Duration duration)
 {
@@ -46,6 +47,7 @@
 
     tcp::socket socket;
     std::string answer; // beginning of what was received
+    std::string ending; // end of what was received
 };
 
 Crowd::Crowd(asio::io_context &context, CrowdScript script)
@@ -85,6 +87,13 @@
             }));
 }
 
+std::size_t Crowd::countEndings(const std::string &text) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(clients_.begin(), clients_.end(),
+                          [&text](const auto &client) { return client->ending.ends_with(text); }));
+}
+
 asio::awaitable<void> Crowd::runClient(std::shared_ptr<Client> client)
 {
     const auto [connectError] =
@@ -117,6 +126,9 @@
         progress_ += count;
         const std::size_t kept = std::min(count, KeptAnswerBytes - client->answer.size());
         client->answer.append(bytes.data(), kept);
+        client->ending.append(bytes.data(), count);
+        if (client->ending.size() > KeptEndingBytes)
+            client->ending.erase(0, client->ending.size() - KeptEndingBytes);
     }
 }
 
--- a/tests/crowds/crowd.h
+++ b/tests/crowds/crowd.h
@@ -42,6 +42,9 @@
     // Returns the number of clients that received an answer that begins with the text.
     std::size_t countAnswers(const std::string &text) const;
 
+    // Returns the number of clients whose input ends with the text.
+    std::size_t countEndings(const std::string &text) const;
+
 private:
     struct Client;
 
--- a/tests/crowds/gatewaysystem.cpp
+++ b/tests/crowds/gatewaysystem.cpp
@@ -72,7 +72,8 @@
     json::array routes{route};
     json::array services{service};
     if (options.engines > 0) {
-        routes.push_back(StandInEngine::makeRoute(Host));
+        routes.push_back(StandInEngine::makeRoute(Host, true));
+        routes.push_back(StandInEngine::makeRoute(Host, false));
         services.push_back(StandInEngine::makeService());
     }
     return json::serialize(json::object{
@@ -178,6 +179,12 @@
         const std::string number = std::to_string(i);
         controls.push_back({"control-" + number, "control", ControlPrefix + number, nullptr});
     }
+    for (std::size_t i = 1; i <= options_.engines; ++i) {
+        const std::string number = std::to_string(i);
+        engines.push_back(std::make_unique<StandInEngine>(endpointContext_, "engine-" + number,
+                                                          EnginePrefix + number + ":8000"));
+        engines.back()->reportTo(controlAddress(0));
+    }
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
 }
@@ -187,6 +194,8 @@
     endpointContext_.stop();
     if (endpointThread_.joinable())
         endpointThread_.join();
+    // Their listeners use the context, which is destroyed first.
+    engines.clear();
     std::vector<GatewayNode *> nodes{&entry};
     for (GatewayNode &control : controls)
         nodes.push_back(&control);
@@ -240,12 +249,6 @@
             endpointContext_, EndpointAddress, InputCapacity, [this](ChannelPointer channel) {
                 asio::co_spawn(endpointContext_, serveEndpoint(std::move(channel)), asio::detached);
             });
-    for (std::size_t i = 1; i <= options_.engines; ++i) {
-        const std::string number = std::to_string(i);
-        engines.push_back(std::make_unique<StandInEngine>(endpointContext_, "engine-" + number,
-                                                          EnginePrefix + number + ":8000"));
-        engines.back()->reportTo(controlAddress(0));
-    }
     for (const auto &engine : engines)
         engine->start();
     endpointThread_ = std::thread([this] { endpointContext_.run(); });
--- a/tests/crowds/standinengine.cpp
+++ b/tests/crowds/standinengine.cpp
@@ -72,12 +72,19 @@
             {"engine", engine}};
 }
 
-json::object StandInEngine::makeRoute(const std::string &host)
+json::object StandInEngine::makeRoute(const std::string &host, bool isStream)
 {
-    return {{"name", "draft"},       {"host", host},         {"path-prefix", "/draft/"},
-            {"kind", "streaming"},   {"timeout-ms", 20'000}, {"target-latency-ms", 500},
-            {"service", "drafts"},   {"attempts", 3},        {"sticky", true},
-            {"stream-resume", true}, {"gap-aim-ms", 300}};
+    return {{"name", isStream ? "draft" : "single"},
+            {"host", host},
+            {"path-prefix", isStream ? "/draft/" : "/single/"},
+            {"kind", isStream ? "streaming" : "idempotent"},
+            {"timeout-ms", 20'000},
+            {"target-latency-ms", 500},
+            {"service", "drafts"},
+            {"attempts", 3},
+            {"sticky", true},
+            {"stream-resume", isStream},
+            {"gap-aim-ms", 300}};
 }
 
 void StandInEngine::start()
@@ -179,6 +186,9 @@
 {
     AsyncCondition signal(channel->executor());
     channel->setChangeSignal(&signal);
+    constexpr int maxGreetings = 1500;
+    for (int i = 0; !greeting.empty() && i < maxGreetings && !channel->isEnded(); ++i)
+        co_await channel->write(greeting, RuntimeClock::now() + WriteTimeout);
     while (!channel->isEnded()) {
         HttpParser parser(HttpMessageKind::Request, InputCapacity, 8 * 1024 * 1024);
         while (parser.consume(channel->input()) && !parser.isDone() && !channel->isEnded()) {
--- a/tests/crowds/standinengine.h
+++ b/tests/crowds/standinengine.h
@@ -30,19 +30,23 @@
 public:
     StandInEngine(boost::asio::io_context &context, std::string id, std::string address);
 
-    // Parts of a configuration: the service of the engines and a route for streams to it.
+    // Parts of a configuration: the service of the engines and routes for streams and for single
+    // answers to it.
     static boost::json::object makeService();
-    static boost::json::object makeRoute(const std::string &host);
+    static boost::json::object makeRoute(const std::string &host, bool isStream);
 
     void start();
 
     // Changes the control VM that gets the reports; none when empty. May be called at any time.
     void reportTo(std::string address);
 
-    // Set before start(). Answers requests that are no orders, and answers to orders.
+    // Set before the system starts. Write the answers to requests and to orders.
     EngineAnswer answer;
     EngineAnswer answerOrder;
 
+    // Sent again and again on each new connection, before any request.
+    std::string greeting;
+
     const std::string &id() const { return id_; }
 
     // Operations of the orders that were obeyed.
@@ -80,6 +84,7 @@
 
 // Target of streams of the route.
 constexpr std::string_view StreamTarget = "/draft/stream";
+constexpr std::string_view SingleTarget = "/single/answer";
 constexpr std::string_view StreamModel = "m1";
 
 } // namespace Trefoil
--- a/tests/crowds/test_controllinks.cpp
+++ b/tests/crowds/test_controllinks.cpp
@@ -95,8 +95,8 @@
     });
 }
 
-// The engines report to the leader alone until it ends, and then to a control VM that does not lead.
-// Their group goes on under the next leader, which no engine tells anything.
+// The engines report to the leader alone until it ends, and then to a control VM that does not
+// lead. Their group goes on under the next leader, which no engine tells anything.
 BOOST_FIXTURE_TEST_CASE(a_new_leader_does_not_know_what_the_last_one_was_told, LinksFixture)
 {
     options.controlVms = 3;
