--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -43,6 +43,10 @@
 constexpr auto MinLingerTime = seconds(3);
 constexpr auto MaxLingerTime = seconds(8);
 
+// Time from the start of an endpoint until it leaves without having reported.
+constexpr auto MinUnreportedTime = milliseconds(200);
+constexpr auto MaxUnreportedTime = milliseconds(800);
+
 // Pause between planned stops and reloads of entries, and the time without a fault before them.
 constexpr auto MinPlannedInterval = milliseconds(300);
 constexpr auto MaxPlannedInterval = seconds(3);
@@ -239,11 +243,17 @@
 // late.
 asio::awaitable<void> departEndpoint(SoakState &soak, ActiveFaults &active, SoakEndpoint &endpoint)
 {
+    // An endpoint that starts again under its id may leave before its first report arrives.
+    const bool isUnreported = !endpoint.isEngine && randomBelow(soak, 2) == 0;
+    if (isUnreported) {
+        restartSilently(soak, endpoint);
+        co_await sleepFor(randomDuration(soak, MinUnreportedTime, MaxUnreportedTime));
+    }
     const std::uint64_t incarnation = endpoint.incarnation;
     const EndpointReport earlier = findReport(soak, endpoint);
     const Duration duration = randomDuration(soak, MinFaultDuration, MaxFaultDuration);
     SoakNode *acknowledgedBy =
-            co_await announceDeparture(soak, endpoint, randomBelow(soak, 2) == 0);
+            co_await announceDeparture(soak, endpoint, !isUnreported && randomBelow(soak, 2) == 0);
     if (endpoint.incarnation != incarnation)
         co_return;
     if (acknowledgedBy) {
--- a/tests/soak/soakworld.h
+++ b/tests/soak/soakworld.h
@@ -105,6 +105,9 @@
     // The endpoint keeps to the first control VM that answers it, whatever it is asked for.
     bool keepsReportAddress = false;
 
+    // The endpoint sends no reports of its own.
+    bool isSilent = false;
+
     double lostResponseRatio = DefaultLostResponseRatio;
 
     // Time at which a control VM acknowledged that this incarnation leaves.
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -559,7 +559,7 @@
         if (soak.fleet.now >= nextPlainReport) {
             nextPlainReport = soak.fleet.now + PlainReportInterval;
             for (auto &endpoint : soak.endpoints) {
-                if (endpoint->isEngine || !isRunning(*endpoint))
+                if (endpoint->isEngine || endpoint->isSilent || !isRunning(*endpoint))
                     continue;
                 ++endpoint->report.sequence;
                 asio::co_spawn(soak.context, sendReport(soak, *endpoint, endpoint->report),
@@ -598,8 +598,10 @@
         call.address = address;
         call.target = "/trefoilrun/instances/" + announced.id
                       + (isDraining ? "/heartbeat" : "/deregister");
-        call.body = isDraining ? encodeReport(announced)
-                               : json::serialize(json::object{{"born", announced.startedAtMs}});
+        if (isDraining)
+            call.body = encodeReport(announced);
+        else if (!endpoint.isSilent)
+            call.body = json::serialize(json::object{{"born", announced.startedAtMs}});
         const HttpCallResult answer = co_await callHttp(std::move(call));
         if (answer.status == 200) {
             for (SoakNode &node : soak.nodes) {
@@ -621,6 +623,7 @@
 {
     endpoint.departedAt.reset();
     endpoint.saysThatItLeaves = false;
+    endpoint.isSilent = false;
     endpoint.holdsOffUntil = TimePoint{};
     if (endpoint.isEngine)
         crashEngine(soak.fleet, endpoint.id);
@@ -647,6 +650,17 @@
     endpoint.proxy->startListening();
 }
 
+void restartSilently(SoakState &soak, SoakEndpoint &endpoint)
+{
+    crashEndpoint(soak, endpoint);
+    endpoint.report.startedAtMs = wallTimeMs();
+    endpoint.report.sequence = 1;
+    endpoint.report.isDraining = false;
+    endpoint.isSilent = true;
+    startListening(soak, endpoint);
+    endpoint.proxy->startListening();
+}
+
 void restartExtraEndpoint(SoakState &soak)
 {
     SoakEndpoint &endpoint = *soak.endpoints.back();
--- a/tests/soak/standinservers.h
+++ b/tests/soak/standinservers.h
@@ -30,6 +30,10 @@
 // Starts the endpoint again as a new incarnation with a new id.
 void restartEndpoint(SoakState &soak, SoakEndpoint &endpoint);
 
+// Lets a plain endpoint crash and start again under its id. It sends no report of the new life, and
+// does not name it in a departure.
+void restartSilently(SoakState &soak, SoakEndpoint &endpoint);
+
 // Starts the endpoint of the further service again unless it is down or leaves.
 void restartExtraEndpoint(SoakState &soak);
 
