--- a/src/libfleet/groupevidence.cpp
+++ b/src/libfleet/groupevidence.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Returns true when the VM has answered a leave order of this leader for the group. The answer is
-// that of a life: one that started later may have obeyed a join that was sent before.
+// that of an incarnation: a later one may have obeyed a join that was sent before.
 bool hasAnsweredLeave(const PlanningStep &step, const EndpointId &id, const std::string &group)
 {
     const auto answer = step.planner.leaveAnswers.find(id);
--- a/src/libfleet/groupplanner.h
+++ b/src/libfleet/groupplanner.h
@@ -85,7 +85,7 @@
     OrderKind kind = OrderKind::Join;
     std::string group;
     TimePoint sentAt{};
-    std::uint64_t startedAtMs = 0; // start of the endpoint's life that was known then
+    std::uint64_t startedAtMs = 0; // of the endpoint's incarnation that was known then
     bool startsLoad = false;       // the engine loads from the weight store
     bool isAccepted = false;       // the next report shows the effect
 };
@@ -95,7 +95,7 @@
 struct LeaveAnswer
 {
     std::string group;
-    std::uint64_t startedAtMs = 0; // start of the VM's life that was known when it was ordered
+    std::uint64_t startedAtMs = 0; // of the VM's incarnation that was known when it was ordered
 };
 
 // Load of a model onto a VM's host ahead of its use.
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -350,8 +350,8 @@
         else if (!overdueSince)
             overdueSince = now;
         else if (now >= *overdueSince + StallConfirmationDelay) {
-            // A stream that has begun stays at its endpoint until another one has taken it. One
-            // that has not is given up, so that its caller can try elsewhere.
+            // A stream that has begun stays at its endpoint until another one has taken it. Before
+            // its first event the attempt ends, so that its caller can try elsewhere.
             const bool isOverdue = now >= stall.requestStalledAt;
             const bool isEndpointOverdue = now >= stall.endpointStalledAt;
             const bool isMovable =
