libgateway: only a whole event takes a stream over; unstepped times keep their fractions

Found while reading the diff. A takeover counted as soon as a byte of the other endpoint's body had arrived; one that broke off inside its first event ended the stream at its own endpoint. It now needs a whole event, or the end of the stream.

late_first_report_brings_an_endpoint_back_that_said_that_it_leaves failed once in two runs: the time at which a connection was opened was the sum of two truncated numbers of milliseconds, and so up to 1 ms before the start of the incarnation that had accepted it. It is now truncated once.

--- a/src/libgateway/endpointattempt.cpp
+++ b/src/libgateway/endpointattempt.cpp
@@ -127,15 +127,16 @@
 
 enum class TakeoverState : std::uint8_t {
     Waiting,
-    Taken,   // an event of the stream has arrived
+    Taken,   // a whole event of the stream, or its end, has arrived
     Refused, // the endpoint has answered without one
     Failed,  // nothing of use can arrive any more
 };
 
 // Returns the state of a takeover from what has arrived, and the head of its answer.
 TakeoverState takeoverState(const RelayContext &context, const RelayRequest &request,
-                            const EndpointAttempt &takeover, HttpHead &head)
+                            const RelayProgress &progress, HttpHead &head)
 {
+    const EndpointAttempt &takeover = *progress.takeover;
     const Channel &channel = *takeover.connection.channel;
     std::string input = takeover.connection.channel->input();
     const bool isFull = input.size() >= ResponseInputCapacity;
@@ -153,7 +154,10 @@
         head = parser.head();
         if (!isEventStream(context, request, head))
             return TakeoverState::Refused;
-        if (parser.isDone() || parser.untakenBodyBytes() > 0)
+        EventFilter filter = progress.eventFilter;
+        filter.incompleteEvent.clear();
+        const bool hasEvents = !filterEvents(filter, parser.takeBody()).empty();
+        if (hasEvents || (parser.isDone() && filter.incompleteEvent.empty()))
             return TakeoverState::Taken;
         break;
     }
@@ -272,7 +276,7 @@
     if (!progress.takeover)
         return false;
     HttpHead head;
-    const TakeoverState state = takeoverState(context, request, *progress.takeover, head);
+    const TakeoverState state = takeoverState(context, request, progress, head);
     if (state == TakeoverState::Waiting)
         return false;
     if (state == TakeoverState::Taken) {
--- a/src/libruntime/clock.cpp
+++ b/src/libruntime/clock.cpp
@@ -20,6 +20,17 @@
     return static_cast<Duration::rep>(time.tv_sec) * 1'000'000'000 + time.tv_nsec;
 }
 
+Duration readWallTime()
+{
+    return std::chrono::duration_cast<Duration>(
+            std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::uint64_t toMilliseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(duration / std::chrono::milliseconds(1));
+}
+
 } // namespace
 
 TimePoint RuntimeClock::now()
@@ -48,17 +59,13 @@
 
 std::uint64_t wallTimeMs()
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    return toMilliseconds(readWallTime());
 }
 
 std::uint64_t unsteppedWallTimeMs()
 {
-    static const std::uint64_t firstWallTimeMs = wallTimeMs();
-    static const TimePoint firstCallAt = RuntimeClock::now();
-    const auto elapsed = (RuntimeClock::now() - firstCallAt) / std::chrono::milliseconds(1);
-    return firstWallTimeMs + static_cast<std::uint64_t>(elapsed);
+    static const Duration offset = readWallTime() - RuntimeClock::now().time_since_epoch();
+    return toMilliseconds(RuntimeClock::now().time_since_epoch() + offset);
 }
 
 } // namespace Trefoil
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -1438,6 +1438,20 @@
     BOOST_CHECK_EQUAL(fixture.state.activeRequestsByModel[""], 0);
 }
 
+// The other endpoint breaks off inside its first event.
+BOOST_AUTO_TEST_CASE(part_of_an_event_counts_as_a_takeover)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::Stream, 2);
+    interruptStream(fixture.first, milliseconds(1900));
+    fixture.second.responses = {makeStreamHead() + toChunk("id: 2\nda")};
+    fixture.second.closesAfterResponse = true;
+    fixture.exchange(makeRequest(KeyField, "{}"), "\r\n0\r\n\r\n");
+    BOOST_CHECK(contains(fixture.callerInput, SecondEvent));
+    BOOST_CHECK_EQUAL(fixture.first.receivedHeads.size(), 1);
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+}
+
 // Four streams are silent at once, and the other endpoint has a place for one of them.
 BOOST_AUTO_TEST_CASE(streams_that_get_no_place_elsewhere_are_cut)
 {
