--- a/src/libfleet/groupplanner.cpp
+++ b/src/libfleet/groupplanner.cpp
@@ -79,7 +79,7 @@
     case GroupState::Closing:
         break;
     }
-    if (group.state == GroupState::Closing)
+    if (group.state == GroupState::Closing && !proveGroupEnd(step, group))
         advanceClosing(step, group);
 }
 
--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -666,6 +666,19 @@
     checkInvariants(fleet);
 }
 
+// A spare VM that has loaded its model needs no order to end its warm-up group, since nobody can have
+// opened it.
+BOOST_AUTO_TEST_CASE(a_warm_spare_is_ordered_to_leave)
+{
+    EngineFleet fleet = makeEngineFleet(1, 1, 3); // one group of two, and a spare VM
+    leaderOf(fleet).planner.hasTraffic = false;
+    runFleet(fleet, seconds(10));
+    BOOST_CHECK_EQUAL(countOpenGroups(fleet, "small"), 1);
+    for (const auto &[id, engine] : fleet.engines)
+        BOOST_CHECK(engine.report.membership);
+    checkInvariants(fleet);
+}
+
 // Another program writes one report in the name of a head, without models and group.
 BOOST_AUTO_TEST_CASE(a_report_without_the_state_of_an_engine_frees_a_group)
 {
