--- a/tests/test_fleetgroups.cpp
+++ b/tests/test_fleetgroups.cpp
@@ -666,8 +666,8 @@
     checkInvariants(fleet);
 }
 
-// A spare VM that has loaded its model needs no order to end its warm-up group, since nobody can have
-// opened it.
+// A spare VM that has loaded its model needs no order to end its warm-up group, since nobody can
+// have opened it.
 BOOST_AUTO_TEST_CASE(a_warm_spare_is_ordered_to_leave)
 {
     EngineFleet fleet = makeEngineFleet(1, 1, 3); // one group of two, and a spare VM
