--- a/review/common-3/system.py
+++ b/review/common-3/system.py
@@ -148,7 +148,10 @@
                 status, headers, answer = await call(
                     target, 'POST', '/trefoilrun/configuration/replace', body, timeout=3)
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
-                status, headers = 0, {}
+                status, headers, answer = 0, {}, b''
+            if status != 200:
+                self.record.write(f'configuration {config["version"]} at {target}: {status} '
+                                  f'{answer[:80]!r}')
             if status == 307:
                 target = headers['location'].split('//')[1].split('/')[0]
                 continue
