--- a/src/libcoord/raft.cpp
+++ b/src/libcoord/raft.cpp
@@ -3,6 +3,7 @@
 #include "libcoord/raftinternal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Trefoil {
 
@@ -231,6 +232,58 @@
     resetElectionTimer(raft, now);
 }
 
+// Adds a chunk to the payload that arrives. Returns the whole payload once it is complete.
+std::optional<std::string> assemblePayload(RaftState &raft, const RaftMessage &chunk)
+{
+    const LogEntry &entry = chunk.entries.front();
+    if (entry.index != raft.incomingEntryIndex || entry.term != raft.incomingEntryTerm) {
+        raft.incomingEntryIndex = entry.index;
+        raft.incomingEntryTerm = entry.term;
+        raft.incomingPayload.clear();
+    }
+    if (chunk.offset != raft.incomingPayload.size())
+        return std::nullopt;
+    raft.incomingPayload += chunk.chunk;
+    if (!chunk.isLastChunk)
+        return std::nullopt;
+    raft.incomingEntryIndex = 0;
+    return std::exchange(raft.incomingPayload, {});
+}
+
+void receiveEntryChunk(RaftState &raft, const RaftMessage &chunk, TimePoint now, RaftOutput &out)
+{
+    if (chunk.entries.size() != 1)
+        return;
+    const LogEntry &entry = chunk.entries.front();
+    const bool isKnown =
+            entry.index <= raft.commitIndex
+            || (entry.index <= lastLogIndex(raft) && termAt(raft, entry.index) == entry.term);
+    const bool matchesLog =
+            isKnown || chunk.index <= raft.commitIndex
+            || (chunk.index <= lastLogIndex(raft) && termAt(raft, chunk.index) == chunk.logTerm);
+    RaftMessage append = chunk;
+    append.entries.clear();
+    if (matchesLog && !isKnown) {
+        auto payload = assemblePayload(raft, chunk);
+        if (!payload) {
+            resetElectionTimer(raft, now);
+            RaftMessage reply = makeMessage(raft, RaftMessageKind::EntryReply, chunk.from);
+            reply.round = chunk.round;
+            reply.index = entry.index;
+            reply.offset = raft.incomingPayload.size();
+            out.sendAfterSync.push_back(std::move(reply));
+            return;
+        }
+        append.entries.push_back(entry);
+        append.entries.back().payload = std::move(*payload);
+    } else if (isKnown) {
+        // Confirms the entry, of which the follower needs no more chunks.
+        append.index = entry.index;
+        append.logTerm = entry.term;
+    }
+    receiveAppend(raft, append, now, out);
+}
+
 void installSnapshot(RaftState &raft, const RaftMessage &chunk, RaftOutput &out)
 {
     auto snapshot = std::make_shared<RaftSnapshot>();
@@ -286,7 +339,8 @@
 
 bool isFromLeader(RaftMessageKind kind)
 {
-    return kind == RaftMessageKind::AppendRequest || kind == RaftMessageKind::SnapshotChunk;
+    return kind == RaftMessageKind::AppendRequest || kind == RaftMessageKind::SnapshotChunk
+           || kind == RaftMessageKind::EntryChunk;
 }
 
 void receiveFromLeader(RaftState &raft, const RaftMessage &message, TimePoint now, RaftOutput &out)
@@ -302,6 +356,8 @@
     raft.lastLeaderContact = now;
     if (message.kind == RaftMessageKind::AppendRequest)
         receiveAppend(raft, message, now, out);
+    else if (message.kind == RaftMessageKind::EntryChunk)
+        receiveEntryChunk(raft, message, now, out);
     else
         receiveSnapshotChunk(raft, message, now, out);
 }
@@ -427,6 +483,9 @@
     case RaftMessageKind::SnapshotReply:
         receiveSnapshotReply(raft, message, now, out);
         break;
+    case RaftMessageKind::EntryReply:
+        receiveEntryReply(raft, message, now, out);
+        break;
     default:
         break;
     }
--- a/src/libcoord/raft.h
+++ b/src/libcoord/raft.h
@@ -83,6 +83,8 @@
     AppendReply,
     SnapshotChunk,
     SnapshotReply,
+    EntryChunk, // part of the payload of an entry that is too large for an append
+    EntryReply,
 };
 
 // Message between seats. Fields that a kind does not use keep their defaults.
@@ -92,17 +94,17 @@
     SeatId from = NoSeat;
     SeatId to = NoSeat;
     Term term = 0;
-    // Last log index of a candidate, previous index of an append, match index of a reply or index
-    // of a snapshot.
+    // Last log index of a candidate, previous index of an append or of the entry of a chunk, match
+    // index of a reply, or index of a snapshot.
     LogIndex index = 0;
     Term logTerm = 0; // term of the entry at `index`
     LogIndex commit = 0;
     std::uint64_t round = 0; // heartbeat round of the leader, echoed by replies
     bool granted = false;
-    std::vector<LogEntry> entries;
-    SeatSet seats; // seat set of a snapshot
-    // Byte offset of a snapshot chunk, offset of the next byte that a follower needs, or previous
-    // index of a rejected append.
+    std::vector<LogEntry> entries; // of a chunk, the entry without its payload
+    SeatSet seats;                 // seat set of a snapshot
+    // Byte offset of a chunk, offset of the next byte that a follower needs, or previous index of a
+    // rejected append.
     std::uint64_t offset = 0;
     std::string chunk;
     bool isLastChunk = false;
@@ -116,7 +118,8 @@
     // Largest relative difference between the rates of two seats' clocks.
     double maxClockDrift = 0.01;
     std::size_t maxEntriesPerMessage = 256;
-    std::size_t maxBytesPerMessage = 256 * 1024;
+    // Bound of the entries in one message. Entries with a larger payload are sent in chunks.
+    std::size_t maxBytesPerMessage = 128 * 1024;
     std::size_t snapshotChunkBytes = 64 * 1024;
     // A learner that is at most this many entries behind the leader becomes a voter.
     std::uint64_t maxPromotionLag = 64;
@@ -159,6 +162,10 @@
     std::uint64_t snapshotOffset = 0;
     std::uint64_t requestedSnapshotOffset = 0; // next byte that the follower requested last
     TimePoint lastSnapshotSend{};
+    LogIndex chunkedIndex = 0; // entry that is sent in chunks, 0 for none
+    std::uint64_t chunkOffset = 0;
+    std::uint64_t requestedChunkOffset = 0; // next byte that the follower requested last
+    TimePoint lastChunkSend{};
     bool isProbing = true; // sends one append at a time until the match index is known
     TimePoint lastAppendSend{};
 };
@@ -203,6 +210,12 @@
 
     std::string incomingSnapshot;
     LogIndex incomingSnapshotIndex = 0;
+
+    // Payload of an entry that arrives in chunks. An entry is identified by its index and term,
+    // whoever sends it.
+    std::string incomingPayload;
+    LogIndex incomingEntryIndex = 0;
+    Term incomingEntryTerm = 0;
 };
 
 // Creates the state of a seat from what the log store recovered. A restarted seat refuses votes for
--- a/src/libcoord/raftinternal.h
+++ b/src/libcoord/raftinternal.h
@@ -21,6 +21,7 @@
 void receiveAppendReply(RaftState &raft, const RaftMessage &reply, TimePoint now, RaftOutput &out);
 void receiveSnapshotReply(RaftState &raft, const RaftMessage &reply, TimePoint now,
                           RaftOutput &out);
+void receiveEntryReply(RaftState &raft, const RaftMessage &reply, TimePoint now, RaftOutput &out);
 void updateLeaderCommit(RaftState &raft, TimePoint now, RaftOutput &out);
 
 // Fails all reads that wait, since this seat is no longer the leader.
--- a/src/libcoord/raftleader.cpp
+++ b/src/libcoord/raftleader.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr auto SnapshotResendInterval = std::chrono::milliseconds(500);
+// A chunk that is not answered within this time is sent again.
+constexpr auto ChunkResendInterval = std::chrono::milliseconds(500);
 constexpr std::size_t MaxTrackedRounds = 256;
 
 RaftMessage makeLeaderMessage(const RaftState &raft, RaftMessageKind kind, SeatId to)
@@ -47,11 +48,68 @@
     sendSnapshotChunk(raft, to, progress, now, out);
 }
 
+// Returns the size of an entry in a message.
+std::size_t messageBytes(const LogEntry &entry)
+{
+    constexpr std::size_t fixedBytes = 48;
+    constexpr std::size_t seatBytes = 32;
+    std::size_t bytes = fixedBytes + entry.payload.size();
+    for (const Seat &seat : entry.seats)
+        bytes += seatBytes + seat.entry.size();
+    return bytes;
+}
+
+// Returns whether the entry that the follower needs next does not fit into an append.
+bool needsChunks(const RaftState &raft, const FollowerProgress &progress)
+{
+    const LogEntry *next = entryAt(raft, progress.nextIndex);
+    return next && next->payload.size() > raft.options.maxBytesPerMessage;
+}
+
+void sendEntryChunk(RaftState &raft, SeatId to, FollowerProgress &progress, TimePoint now,
+                    RaftOutput &out)
+{
+    const LogEntry &entry = *entryAt(raft, progress.chunkedIndex);
+    RaftMessage chunk = makeLeaderMessage(raft, RaftMessageKind::EntryChunk, to);
+    chunk.index = entry.index - 1;
+    chunk.logTerm = termAt(raft, chunk.index);
+    chunk.entries.push_back({entry.index, entry.term, entry.kind, {}, entry.seats});
+    chunk.offset = progress.chunkOffset;
+    chunk.chunk = entry.payload.substr(progress.chunkOffset, raft.options.maxBytesPerMessage);
+    chunk.isLastChunk = progress.chunkOffset + chunk.chunk.size() >= entry.payload.size();
+    progress.lastChunkSend = now;
+    out.send.push_back(std::move(chunk));
+}
+
+// Sends the next entry in chunks, of which one at a time is under way. Nothing is sent while an
+// answer may still arrive.
+void sendInChunks(RaftState &raft, SeatId to, FollowerProgress &progress, TimePoint now,
+                  RaftOutput &out)
+{
+    const bool isNew = progress.chunkedIndex != progress.nextIndex;
+    if (!isNew && now - progress.lastChunkSend < ChunkResendInterval)
+        return;
+    if (isNew)
+        progress.requestedChunkOffset = 0;
+    progress.chunkedIndex = progress.nextIndex;
+    progress.chunkOffset = progress.requestedChunkOffset;
+    sendEntryChunk(raft, to, progress, now, out);
+}
+
+// Sends an append without entries, which shows the follower that this seat leads.
+void sendEmptyAppend(RaftState &raft, SeatId to, const FollowerProgress &progress, RaftOutput &out)
+{
+    RaftMessage append = makeLeaderMessage(raft, RaftMessageKind::AppendRequest, to);
+    append.index = progress.nextIndex - 1;
+    append.logTerm = termAt(raft, append.index);
+    out.send.push_back(std::move(append));
+}
+
 void sendAppend(RaftState &raft, SeatId to, FollowerProgress &progress, TimePoint now,
                 RaftOutput &out)
 {
     if (progress.outgoingSnapshot) {
-        if (now - progress.lastSnapshotSend < SnapshotResendInterval)
+        if (now - progress.lastSnapshotSend < ChunkResendInterval)
             return;
         // A chunk or its reply was lost, or the follower restarted and needs an earlier byte.
         progress.snapshotOffset = progress.requestedSnapshotOffset;
@@ -62,17 +120,22 @@
         startSnapshot(raft, to, progress, now, out);
         return;
     }
+    if (needsChunks(raft, progress)) {
+        sendInChunks(raft, to, progress, now, out);
+        return;
+    }
     RaftMessage append = makeLeaderMessage(raft, RaftMessageKind::AppendRequest, to);
     append.index = progress.nextIndex - 1;
     append.logTerm = termAt(raft, append.index);
     std::size_t bytes = 0;
     for (LogIndex index = progress.nextIndex; index <= lastLogIndex(raft); ++index) {
         const LogEntry &entry = *entryAt(raft, index);
-        bytes += entry.payload.size();
-        append.entries.push_back(entry);
-        if (append.entries.size() >= raft.options.maxEntriesPerMessage
-            || bytes >= raft.options.maxBytesPerMessage)
+        bytes += messageBytes(entry);
+        const bool isFull = append.entries.size() >= raft.options.maxEntriesPerMessage
+                            || bytes > raft.options.maxBytesPerMessage;
+        if (isFull && !append.entries.empty())
             break;
+        append.entries.push_back(entry);
     }
     if (!progress.isProbing && !append.entries.empty())
         progress.nextIndex = append.entries.back().index + 1;
@@ -92,8 +155,11 @@
     if (raft.roundSentAt.size() > MaxTrackedRounds)
         raft.roundSentAt.erase(raft.roundSentAt.begin());
     raft.nextHeartbeat = now + raft.options.heartbeatInterval;
-    for (auto &[seat, progress] : raft.followers)
+    for (auto &[seat, progress] : raft.followers) {
+        if (!progress.outgoingSnapshot && needsChunks(raft, progress))
+            sendEmptyAppend(raft, seat, progress, out);
         sendAppend(raft, seat, progress, now, out);
+    }
 }
 
 void sendNewEntries(RaftState &raft, TimePoint now, RaftOutput &out)
@@ -362,6 +428,31 @@
     sendSnapshotChunk(raft, reply.from, progress, now, out);
 }
 
+void receiveEntryReply(RaftState &raft, const RaftMessage &reply, TimePoint now, RaftOutput &out)
+{
+    const auto found = raft.followers.find(reply.from);
+    if (raft.role != RaftRole::Leader || reply.term != raft.hardState.term
+        || found == raft.followers.end())
+        return;
+    FollowerProgress &progress = found->second;
+    progress.lastContact = now;
+    progress.ackedRound = std::max(progress.ackedRound, reply.round);
+    extendLease(raft);
+    finishReads(raft, now, out);
+    const bool isCurrent = reply.index == progress.chunkedIndex
+                           && progress.chunkedIndex == progress.nextIndex
+                           && needsChunks(raft, progress)
+                           && reply.offset < entryAt(raft, reply.index)->payload.size();
+    if (!isCurrent)
+        return;
+    progress.requestedChunkOffset = reply.offset;
+    // A late copy of an earlier reply requests nothing new.
+    if (reply.offset <= progress.chunkOffset)
+        return;
+    progress.chunkOffset = reply.offset;
+    sendEntryChunk(raft, reply.from, progress, now, out);
+}
+
 } // namespace RaftInternal
 
 using namespace RaftInternal;
--- a/src/libfleet/endpoints.cpp
+++ b/src/libfleet/endpoints.cpp
@@ -43,6 +43,70 @@
             std::max<std::int64_t>(duration / std::chrono::milliseconds(1), 0));
 }
 
+// Changes the sum of the sizes of configured endpoints.
+void countConfigured(EndpointTable &table, std::size_t removed, std::size_t added)
+{
+    table.configuredBytes -= std::min(table.configuredBytes, removed);
+    table.configuredBytes += added;
+}
+
+void countUnconfigured(EndpointTable &table, const std::string &service, std::size_t removed,
+                       std::size_t added)
+{
+    table.unconfiguredBytes -= std::min(table.unconfiguredBytes, removed);
+    table.unconfiguredBytes += added;
+    std::size_t &bytes = table.bytesByUnconfiguredService[service];
+    bytes -= std::min(bytes, removed);
+    bytes += added;
+    if (bytes == 0)
+        table.bytesByUnconfiguredService.erase(service);
+}
+
+// Removes endpoints that are silent if there is no room for a report of this size. Returns whether
+// there is room.
+bool makeConfiguredRoom(EndpointTable &table, std::size_t bytes, TimePoint now)
+{
+    constexpr auto silentTime = std::chrono::seconds(10);
+    constexpr auto searchInterval = std::chrono::seconds(1);
+    if (table.configuredBytes + bytes > MaxConfiguredBytes && now >= table.nextRoomAt) {
+        table.nextRoomAt = now + searchInterval;
+        std::erase_if(table.endpoints, [&](const auto &item) {
+            if (now - item.second.lastHeard <= silentTime)
+                return false;
+            countConfigured(table, reportBytes(item.second.report), 0);
+            return true;
+        });
+    }
+    return table.configuredBytes + bytes <= MaxConfiguredBytes;
+}
+
+// Removes endpoints of the service that takes most of the room for unconfigured ones, unless it is
+// that of the report. Returns whether there is room for the report.
+bool makeUnconfiguredRoom(EndpointTable &table, const EndpointReport &report)
+{
+    const std::size_t bytes = reportBytes(report);
+    while (table.unconfigured.size() >= MaxUnconfiguredEndpoints
+           || table.unconfiguredBytes + bytes > MaxUnconfiguredBytes) {
+        const auto &byService = table.bytesByUnconfiguredService;
+        const auto largest =
+                std::max_element(byService.begin(), byService.end(),
+                                 [](const auto &a, const auto &b) { return a.second < b.second; });
+        const auto own = byService.find(report.service);
+        const std::size_t ownBytes = bytes + (own == byService.end() ? 0 : own->second);
+        if (largest == byService.end() || largest->second < ownBytes)
+            return false;
+        const std::string service = largest->first;
+        const auto victim =
+                std::find_if(table.unconfigured.begin(), table.unconfigured.end(),
+                             [&](const auto &item) { return item.first.second == service; });
+        if (victim == table.unconfigured.end())
+            return false;
+        countUnconfigured(table, service, reportBytes(victim->second.report), 0);
+        table.unconfigured.erase(victim);
+    }
+    return true;
+}
+
 // Remembers the model of a group in which the endpoint has become ready.
 void updateLoadedModel(Endpoint &endpoint)
 {
@@ -75,18 +139,24 @@
     const auto key = std::make_pair(report.id, report.service);
     const auto found = table.unconfigured.find(key);
     if (found == table.unconfigured.end()) {
-        if (table.unconfigured.size() >= MaxUnconfiguredEndpoints)
-            return ReportOutcome::Stale;
+        if (!makeUnconfiguredRoom(table, report))
+            return ReportOutcome::Refused;
         Endpoint endpoint;
         endpoint.report = report;
         endpoint.lastHeard = now - age;
         endpoint.lastReportAt = now - age;
+        countUnconfigured(table, report.service, 0, reportBytes(report));
         table.unconfigured.emplace(key, std::move(endpoint));
         return ReportOutcome::Changed;
     }
     Endpoint &known = found->second;
     if (isOlder(report, known.report))
         return ReportOutcome::Stale;
+    const std::size_t oldBytes = reportBytes(known.report);
+    const std::size_t newBytes = reportBytes(report);
+    if (newBytes > oldBytes && table.unconfiguredBytes + newBytes - oldBytes > MaxUnconfiguredBytes)
+        return ReportOutcome::Refused;
+    countUnconfigured(table, report.service, oldBytes, newBytes);
     known.lastHeard = std::max(known.lastHeard, now - age);
     known.lastReportAt = std::max(known.lastReportAt, now - age);
     const bool hasChanged = differs(report, known.report);
@@ -121,6 +191,19 @@
 
 } // namespace
 
+std::size_t reportBytes(const EndpointReport &report)
+{
+    constexpr std::size_t fixedBytes = 100;
+    constexpr std::size_t nameBytes = 8;
+    std::size_t bytes = fixedBytes + report.id.size() + report.service.size()
+                        + report.address.size() + report.domain.size() + report.fabric.size();
+    for (const std::string &model : report.stagedModels)
+        bytes += nameBytes + model.size();
+    if (report.membership)
+        bytes += report.membership->group.size();
+    return bytes;
+}
+
 bool isUnusable(const EndpointTable &table, const EndpointReport &report)
 {
     return report.lacksEngineState && table.engineServices.contains(report.service);
@@ -137,7 +220,11 @@
         recordDeparture(table.departures, {report.id, report.startedAtMs, toMilliseconds(age)},
                         now);
     const auto found = table.endpoints.find(report.id);
+    const std::size_t newBytes = reportBytes(report);
     if (found == table.endpoints.end()) {
+        if (!makeConfiguredRoom(table, newBytes, now))
+            return ReportOutcome::Refused;
+        countConfigured(table, 0, newBytes);
         Endpoint endpoint;
         endpoint.report = report;
         endpoint.lastHeard = now - age;
@@ -153,6 +240,10 @@
     const bool isSameIncarnation = known.report.startedAtMs == report.startedAtMs;
     if (isOlder(report, known.report))
         return ReportOutcome::Stale;
+    const std::size_t oldBytes = reportBytes(known.report);
+    if (newBytes > oldBytes && table.configuredBytes + newBytes - oldBytes > MaxConfiguredBytes)
+        return ReportOutcome::Refused;
+    countConfigured(table, oldBytes, newBytes);
     known.lastHeard = std::max(known.lastHeard, now - age);
     known.lastReportAt = std::max(known.lastReportAt, now - age);
     known.isLeaving = hasDeparted(table.departures, report.id, report.startedAtMs);
@@ -236,8 +327,10 @@
     std::vector<Endpoint> named;
     std::erase_if(table.unconfigured, [&](const auto &item) {
         const bool isNamed = table.services->contains(item.first.second);
-        if (isNamed)
+        if (isNamed) {
             named.push_back(item.second);
+            countUnconfigured(table, item.first.second, reportBytes(item.second.report), 0);
+        }
         return isNamed;
     });
     for (const Endpoint &endpoint : named) {
@@ -254,8 +347,18 @@
     const auto isExpired = [&](const auto &item) {
         return now - item.second.lastHeard > retention;
     };
-    std::erase_if(table.endpoints, isExpired);
-    std::erase_if(table.unconfigured, isExpired);
+    std::erase_if(table.endpoints, [&](const auto &item) {
+        if (!isExpired(item))
+            return false;
+        countConfigured(table, reportBytes(item.second.report), 0);
+        return true;
+    });
+    std::erase_if(table.unconfigured, [&](const auto &item) {
+        if (!isExpired(item))
+            return false;
+        countUnconfigured(table, item.first.second, reportBytes(item.second.report), 0);
+        return true;
+    });
 }
 
 bool isUsable(const Endpoint &endpoint, Duration heartbeatTimeout, TimePoint now)
--- a/src/libfleet/endpoints.h
+++ b/src/libfleet/endpoints.h
@@ -67,14 +67,29 @@
     std::set<std::string> engineServices;
 
     DepartureTable departures;
+
+    // Sizes of the reports of configured services, and of each other service.
+    std::size_t configuredBytes = 0;
+    std::size_t unconfiguredBytes = 0;
+    std::map<std::string, std::size_t> bytesByUnconfiguredService;
+
+    // Silent endpoints are not looked for before this time to make room for others.
+    TimePoint nextRoomAt{};
 };
 
-// Limits what unrelated programs can add to a table.
+// Limits what programs that report can add to a table. Other services have no part in the room of
+// the configured ones.
 constexpr std::size_t MaxUnconfiguredEndpoints = 10'000;
+constexpr std::size_t MaxUnconfiguredBytes = 2 * 1024 * 1024;
+constexpr std::size_t MaxConfiguredBytes = 16 * 1024 * 1024;
+
+// Returns the size for which a report counts in these limits.
+std::size_t reportBytes(const EndpointReport &report);
 
 enum class ReportOutcome : std::uint8_t {
     Stale,     // older than the known report
     Unusable,  // lacks the state of an engine
+    Refused,   // there is no room for it
     Refreshed, // only the sequence number changed
     Changed,
 };
--- a/src/libfleet/partquarantine.cpp
+++ b/src/libfleet/partquarantine.cpp
@@ -355,11 +355,58 @@
         list.insert(list.end(), std::make_move_iterator(values.begin()),
                     std::make_move_iterator(values.end()));
     };
-    append(evidence.ends, std::move(added.ends));
+    for (PartEvidence::End &end : added.ends) {
+        if (!evidence.ends.empty() && evidence.ends.back().engine == end.engine)
+            append(evidence.ends.back().suspects, std::move(end.suspects));
+        else
+            evidence.ends.push_back(std::move(end));
+    }
     append(evidence.answers, std::move(added.answers));
     append(evidence.verdicts, std::move(added.verdicts));
 }
 
+std::vector<EvidenceKey> evidenceKeys(const PartEvidence &evidence)
+{
+    std::vector<EvidenceKey> keys;
+    for (const PartEvidence::End &end : evidence.ends) {
+        for (const SuspectRequest &suspect : end.suspects)
+            keys.emplace_back(SuspectKey{end.engine, suspect.request});
+    }
+    for (const PartEvidence::Answer &answer : evidence.answers)
+        keys.emplace_back(answer.part);
+    for (const PartEvidence::Verdict &verdict : evidence.verdicts)
+        keys.emplace_back(verdict.parts);
+    return keys;
+}
+
+PartEvidence evidenceOf(const PartQuarantine &quarantine, const EvidenceKey &key, TimePoint now)
+{
+    PartEvidence evidence;
+    if (const auto *suspect = std::get_if<SuspectKey>(&key)) {
+        const auto end = quarantine.ends.find(suspect->engine);
+        if (end == quarantine.ends.end())
+            return evidence;
+        const auto &suspects = end->second.suspects;
+        const auto request = suspects.lower_bound({suspect->request, {}});
+        if (request != suspects.end() && request->request == suspect->request)
+            evidence.ends.push_back({suspect->engine, toMs(now - end->second.at), {*request}});
+    } else if (const auto *part = std::get_if<PromptPartId>(&key)) {
+        const auto answer = quarantine.suspectAnswers.find(*part);
+        if (answer != quarantine.suspectAnswers.end())
+            evidence.answers.push_back({*part, toMs(now - answer->second)});
+    } else {
+        const auto verdict = quarantine.verdicts.find(std::get<PartSet>(key));
+        if (verdict != quarantine.verdicts.end())
+            evidence.verdicts.push_back(toEvidence(verdict->first, verdict->second, now));
+    }
+    return evidence;
+}
+
+bool hasEvidence(const PartQuarantine &quarantine, const EvidenceKey &key)
+{
+    return !evidenceOf(quarantine, key, TimePoint{}).isEmpty();
+}
+
 PartEvidence recordEngineEnd(PartQuarantine &quarantine, IncarnationKey engine,
                              const SuspectRequest &request, TimePoint now)
 {
--- a/src/libfleet/partquarantine.h
+++ b/src/libfleet/partquarantine.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string_view>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 // Decides which parts of prompts end the engines that begin to answer them, and refuses requests
@@ -145,7 +146,25 @@
     bool isEmpty() const { return ends.empty() && answers.empty() && verdicts.empty(); }
 };
 
-// Adds evidence to evidence that has not been sent yet.
+// Names one row of the evidence: a request at an engine that ended, an answered part or a verdict.
+struct SuspectKey
+{
+    IncarnationKey engine = 0;
+    std::uint64_t request = 0;
+
+    auto operator<=>(const SuspectKey &) const = default;
+};
+using EvidenceKey = std::variant<SuspectKey, PromptPartId, PartSet>;
+
+std::vector<EvidenceKey> evidenceKeys(const PartEvidence &evidence);
+
+// Returns what is known of this row, empty when that is nothing.
+PartEvidence evidenceOf(const PartQuarantine &quarantine, const EvidenceKey &key, TimePoint now);
+
+bool hasEvidence(const PartQuarantine &quarantine, const EvidenceKey &key);
+
+// Adds evidence to evidence that has not been sent yet. Requests at the same engine are added to
+// its last end.
 void appendEvidence(PartEvidence &evidence, PartEvidence &&added);
 
 // Records that the engine ended before it began to answer the request. Returns the new evidence.
--- a/src/libfleet/placement.h
+++ b/src/libfleet/placement.h
@@ -35,6 +35,7 @@
     std::uint64_t process = 0; // identifies the process of the entry, larger for later ones
     std::uint64_t sequence = 0;
     std::unordered_map<EndpointHash, EndpointLoad> loads;
+    std::uint32_t nextPart = 0; // of the digest with this sequence number
     // Endpoints of which the entry needs tokens.
     std::vector<EndpointHash> neededEndpoints;
 };
--- a/src/libgateway/controllinks.cpp
+++ b/src/libgateway/controllinks.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/controllinks.h"
 
+#include "libgateway/messageparts.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
 
@@ -19,6 +20,9 @@
 // An address that is not a seed is dropped after this time without a link.
 constexpr auto PeerRetention = std::chrono::seconds(60);
 
+// After a longer time without a link, rows that were received before may have expired.
+constexpr auto MaxStateAge = std::chrono::seconds(60);
+
 } // namespace
 
 ControlLinks::ControlLinks(asio::io_context &context, std::string ownAddress,
@@ -96,8 +100,12 @@
     peer->link = std::make_shared<Link>(
             std::move(channel), LinkTimeout,
             [this, address](Link &link, LinkMessage &&message) {
-                if (Peer *sender = findPeer(address))
+                if (Peer *sender = findPeer(address)) {
                     sender->lastActiveAt = link.lastReceivedAt;
+                    const auto *update = std::get_if<EndpointUpdate>(&message);
+                    if (update && update->position.process != 0)
+                        sender->received = update->position;
+                }
                 onMessage_(address, link, std::move(message));
             },
             [this, address](Link &, const std::string &reason) {
@@ -108,20 +116,35 @@
                 lostPeer->link = nullptr;
                 lostPeer->offeredVersion = 0;
             });
+    if (RuntimeClock::now() - peer->lastActiveAt > MaxStateAge)
+        peer->received = {};
     peer->lastActiveAt = RuntimeClock::now();
     logEvent(Event::LinkConnected, {{"peer", address}});
     peer->link->start();
-    peer->link->send(makeHello_());
+    LinkHello hello = makeHello_();
+    hello.received = peer->received;
+    for (const LinkHello &part : divide(hello))
+        peer->link->send(part);
     if (onConnected_)
         onConnected_(*peer->link);
 }
 
 void ControlLinks::broadcastHello()
 {
-    const std::string frame = encodeLinkFrame(makeHello_());
+    for (const LinkHello &part : divide(makeHello_())) {
+        const std::string frame = encodeLinkFrame(part);
+        for (auto &[address, peer] : peers_) {
+            if (peer.link)
+                peer.link->sendFrame(frame);
+        }
+    }
+}
+
+void ControlLinks::notifyState()
+{
     for (auto &[address, peer] : peers_) {
         if (peer.link)
-            peer.link->sendFrame(frame);
+            peer.link->notifyState();
     }
 }
 
--- a/src/libgateway/controllinks.h
+++ b/src/libgateway/controllinks.h
@@ -38,6 +38,9 @@
 
         // Version of the configuration that the peer offered, 0 for none.
         std::uint64_t offeredVersion = 0;
+
+        // How far the peer's state was received, on this link or earlier ones.
+        StatePosition received;
     };
 
     using HelloFactory = std::function<LinkHello()>;
@@ -65,6 +68,9 @@
     // Sends the hello of this process to all linked peers.
     void broadcastHello();
 
+    // Must be called when the state that peers should know has changed.
+    void notifyState();
+
     std::map<std::string, Peer> &peers() { return peers_; }
     const std::map<std::string, Peer> &peers() const { return peers_; }
     Peer *findPeer(const std::string &address);
--- a/src/libgateway/controlprocess.cpp
+++ b/src/libgateway/controlprocess.cpp
@@ -1,6 +1,7 @@
 #include "libgateway/controlprocess.h"
 
 #include "libgateway/documentpacking.h"
+#include "libgateway/messageparts.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
 #include "libruntime/structuredlog.h"
@@ -37,7 +38,15 @@
 constexpr std::size_t LinkInputCapacity = 1024 * 1024;
 
 // Size of the first message of a node, which says who it is.
-constexpr std::size_t FirstMessageCapacity = 256 * 1024;
+constexpr std::size_t FirstMessageCapacity = MaxLinkMessageBytes;
+
+// Larger names and addresses in a hello come from another program.
+constexpr std::size_t MaxHelloTextBytes = 1024;
+
+constexpr std::size_t DocumentPartBytes = MaxLinkMessageBytes / 2;
+
+// Rows that were received from a node longer ago may have expired.
+constexpr auto MaxReceivedAge = std::chrono::seconds(60);
 
 // Up to this number, all endpoints send their heartbeats to the leader. With more, the heartbeats
 // stay spread over the control VMs.
@@ -75,7 +84,7 @@
                   handleLinkMessage(link, std::move(message));
               },
               linkLimits(ledger_))
-    , reports_(context, dialect_, makeReportHandlers())
+    , reports_(context, dialect_, processStartMs_, makeReportHandlers())
     , groups_(context, dialect_, reports_, makeGroupHandlers(), {ledger_})
     , rng_(std::random_device{}())
 {}
@@ -91,6 +100,10 @@
         return seat_->isActingLeader() && seat_->propose(std::move(command), std::move(onDone));
     };
     handlers.broadcast = [this](const LinkMessage &message) { broadcast(message); };
+    handlers.onStateChanged = [this] {
+        for (const auto &[pointer, link] : acceptedLinks_)
+            link->notifyState();
+    };
     handlers.onChanged = [this] { nextPlanAt_ = TimePoint{}; };
     handlers.onChangeSent = [this] { runLeaderTasks(); };
     return handlers;
@@ -180,6 +193,8 @@
         controlLinks_.broadcastHello();
         broadcastTopology();
         removeExpiredEntries(roster_, now);
+        std::erase_if(receivedStates_,
+                      [now](const auto &item) { return now - item.second.at > MaxReceivedAge; });
         flushStructuredLog();
     }
     reports_.tick(now);
@@ -207,33 +222,80 @@
 void ControlProcess::greet(Link &link)
 {
     link.protect(LinkInputCapacity);
-    link.send(makeTopology());
-    link.send(reports_.makeFullUpdate());
+    for (const Topology &part : divide(makeTopology()))
+        link.send(part);
+    link.setStateSource([this, reader = reports_.makeReader(link.peerHello.received)]() mutable {
+        return reports_.nextFrame(reader);
+    });
 }
 
 // Anybody may connect to this control VM, so a node first says who it is. The peers of the links
 // that this control VM opened are known by their addresses and send no hello there.
 void ControlProcess::handleAcceptedMessage(Link &link, LinkMessage &&message)
 {
-    if (link.hasHello || std::holds_alternative<LinkHello>(message))
-        handleLinkMessage(link, std::move(message));
+    if (!link.hasHello && !std::holds_alternative<LinkHello>(message))
+        return;
+    const auto *update = std::get_if<EndpointUpdate>(&message);
+    if (update && update->position.process != 0)
+        receivedStates_[link.peerHello.name] = {update->position, RuntimeClock::now()};
+    handleLinkMessage(link, std::move(message));
+}
+
+StatePosition ControlProcess::receivedPosition(const LinkHello &hello) const
+{
+    const auto found = receivedStates_.find(hello.name);
+    return found == receivedStates_.end() ? StatePosition{} : found->second.position;
+}
+
+void ControlProcess::recordHello(Link &link, LinkHello &&hello)
+{
+    for (const std::string *text : {&hello.name, &hello.domain, &hello.internalAddress,
+                                    &hello.publicAddress, &hello.leaderAddress}) {
+        if (text->size() > MaxHelloTextBytes) {
+            logEvent(Event::PeerMessageInvalid, {{"error", "a text in a hello is too long"}});
+            return;
+        }
+    }
+    if (hello.isContinuation && link.hasHello)
+        mergeHello(link.peerHello, std::move(hello));
+    else
+        link.peerHello = std::move(hello);
+    if (!std::exchange(link.hasHello, true))
+        greet(link);
+    hasSeenRequests_ = hasSeenRequests_ || link.peerHello.requestCount > 0;
+    applyEntryHello(link.peerHello);
+    if (link.peerHello.kind == NodeKind::Control) {
+        controlLinks_.addPeerWithPublicAddress(link.peerHello.internalAddress,
+                                               link.peerHello.publicAddress);
+    }
+    // The reply keeps the link alive, because the peer ends a link on which it receives nothing
+    // for the link timeout.
+    link.send(ConfigurationOffer{seat_->services().version, receivedPosition(link.peerHello)});
+}
+
+void ControlProcess::sendDocument(Link &link, const ConfigurationRequest &request)
+{
+    const PublishedServices &services = seat_->services();
+    if (services.version == 0)
+        return;
+    ConfigurationDocument document;
+    document.version = services.version;
+    if (!request.takesParts) {
+        document.document = services.document;
+        link.send(document);
+        return;
+    }
+    document.totalBytes = services.document.size();
+    if (request.version == services.version && request.offset < document.totalBytes)
+        document.offset = request.offset;
+    document.document = services.document.substr(document.offset, DocumentPartBytes);
+    link.send(document);
 }
 
 void ControlProcess::handleLinkMessage(Link &link, LinkMessage &&message)
 {
     if (auto *hello = std::get_if<LinkHello>(&message)) {
-        link.peerHello = std::move(*hello);
-        if (!std::exchange(link.hasHello, true))
-            greet(link);
-        hasSeenRequests_ = hasSeenRequests_ || link.peerHello.requestCount > 0;
-        applyEntryHello(link.peerHello);
-        if (link.peerHello.kind == NodeKind::Control) {
-            controlLinks_.addPeerWithPublicAddress(link.peerHello.internalAddress,
-                                                   link.peerHello.publicAddress);
-        }
-        // The reply keeps the link alive, because the peer ends a link on which it receives nothing
-        // for the link timeout.
-        link.send(ConfigurationOffer{seat_->services().version});
+        recordHello(link, std::move(*hello));
     } else if (auto *raft = std::get_if<RaftEnvelope>(&message)) {
         for (const RaftMessage &raftMessage : raft->messages)
             seat_->receive(raftMessage);
@@ -246,10 +308,8 @@
                 continue;
             controlLinks_.addPeerWithPublicAddress(node.internalAddress, node.publicAddress);
         }
-    } else if (std::get_if<ConfigurationRequest>(&message)) {
-        const PublishedServices &services = seat_->services();
-        if (services.version > 0)
-            link.send(ConfigurationDocument{services.version, services.document});
+    } else if (const auto *request = std::get_if<ConfigurationRequest>(&message)) {
+        sendDocument(link, *request);
     }
 }
 
@@ -337,7 +397,8 @@
     if (current.nodes == lastBroadcastTopology_.nodes)
         return;
     lastBroadcastTopology_ = current;
-    broadcast(current);
+    for (const Topology &part : divide(current))
+        broadcast(part);
 }
 
 void ControlProcess::broadcast(const LinkMessage &message)
@@ -390,7 +451,7 @@
         return;
     offeredVersion_ = version;
     logEvent(Event::ConfigurationApplied, {{"version", std::to_string(version)}});
-    broadcast(ConfigurationOffer{version});
+    broadcast(ConfigurationOffer{version, {}});
 }
 
 ServerResponse ControlProcess::makeErrorResponse(std::uint32_t status,
@@ -617,7 +678,7 @@
             logEvent(Event::ConfigurationRefused, {{"version", std::to_string(services.version)},
                                                    {"findings", InvalidDocumentFinding}});
         if (decodedConfiguration_)
-            setServices(reports_.table(), *decodedConfiguration_, RuntimeClock::now());
+            reports_.applyServices(*decodedConfiguration_, RuntimeClock::now());
     }
     return decodedConfiguration_ ? &*decodedConfiguration_ : nullptr;
 }
--- a/src/libgateway/controlprocess.h
+++ b/src/libgateway/controlprocess.h
@@ -52,6 +52,11 @@
     std::string reportAddress() const;
 
     void handleLinkEnd(Link &link, const std::string &reason);
+    void recordHello(Link &link, LinkHello &&hello);
+    void sendDocument(Link &link, const ConfigurationRequest &request);
+
+    // Returns how far the state of the node was received.
+    StatePosition receivedPosition(const LinkHello &hello) const;
     LinkHello makeHello() const;
     Topology makeTopology() const;
     void broadcastTopology();
@@ -102,6 +107,14 @@
     // Links that entries and control VMs opened to this process.
     std::map<Link *, LinkPointer> acceptedLinks_;
 
+    // How far the state of each entry was received, by name, and the time of its last part.
+    struct ReceivedState
+    {
+        StatePosition position;
+        TimePoint at{};
+    };
+    std::map<std::string, ReceivedState> receivedStates_;
+
     Topology lastBroadcastTopology_;
 
     // Entries that are or were connected to a control VM.
--- a/src/libgateway/endpointreports.cpp
+++ b/src/libgateway/endpointreports.cpp
@@ -1,5 +1,6 @@
 #include "libgateway/endpointreports.h"
 
+#include "libgateway/messageparts.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
 
@@ -30,6 +31,7 @@
 constexpr std::size_t MaxEndpointIdBytes = 256;
 
 constexpr const char *IncompleteEngineReport = "the report of an engine has no 'models'";
+constexpr const char *FullTable = "there is no room for more endpoints";
 constexpr const char *UnconfirmedDeparture = "the departure could not be confirmed";
 
 std::uint32_t toMilliseconds(Duration duration)
@@ -38,11 +40,6 @@
             std::max<std::int64_t>(duration / std::chrono::milliseconds(1), 0));
 }
 
-EndpointUpdate::ChangedEndpoint makeChangedEndpoint(const Endpoint &endpoint, TimePoint now)
-{
-    return {endpoint.report, toMilliseconds(now - endpoint.lastHeard), endpoint.isLeaving};
-}
-
 std::string joinTexts(std::span<const std::string> texts)
 {
     std::string joined;
@@ -61,13 +58,14 @@
 } // namespace
 
 EndpointReports::EndpointReports(asio::io_context &context, const Dialect &dialect,
-                                 Handlers handlers)
+                                 std::uint64_t process, Handlers handlers)
     : context_(context)
     , dialect_(dialect)
     , handlers_(std::move(handlers))
     , updateTimer_(context)
 {
     table_.services.emplace();
+    feed_.process = process;
 }
 
 asio::awaitable<ServerResponse> EndpointReports::handleHeartbeat(EndpointId endpoint,
@@ -85,8 +83,10 @@
                  {{"endpoint", endpoint}, {"error", IncompleteEngineReport}});
         co_return makeErrorResponse(400, IncompleteEngineReport);
     }
-    const bool isAccepted = applyHeartbeat(report);
-    if (isAccepted && report.isDraining) {
+    const ReportOutcome outcome = applyHeartbeat(report);
+    if (outcome == ReportOutcome::Refused && table_.services->contains(report.service))
+        co_return makeErrorResponse(503, FullTable);
+    if (report.isDraining && !isForeign(report)) {
         const bool isConfirmed = co_await confirmDeparture(report.id, report.startedAtMs);
         if (!isConfirmed)
             co_return makeErrorResponse(503, UnconfirmedDeparture);
@@ -98,12 +98,9 @@
 
 // A report of a service that is not configured is kept and passed on as well, because this control
 // VM or an entry may learn later that the service was added.
-bool EndpointReports::applyHeartbeat(const EndpointReport &report)
+ReportOutcome EndpointReports::applyHeartbeat(const EndpointReport &report)
 {
-    const Endpoint *configured = findEndpoint(table_, report.id);
-    const bool isForeign = configured && configured->report.service != report.service
-                           && !table_.services->contains(report.service);
-    if (report.isDraining && !isForeign)
+    if (report.isDraining && !isForeign(report))
         recordNotice({report.id, report.startedAtMs}, "report");
     const ReportOutcome outcome =
             applyReport(table_, report, Duration::zero(), RuntimeClock::now());
@@ -111,7 +108,14 @@
         announceChange(report);
     else if (outcome == ReportOutcome::Refreshed)
         heardEndpoints_.insert(report.id);
-    return !isForeign;
+    return outcome;
+}
+
+bool EndpointReports::isForeign(const EndpointReport &report) const
+{
+    const Endpoint *configured = findEndpoint(table_, report.id);
+    return configured && configured->report.service != report.service
+           && !table_.services->contains(report.service);
 }
 
 asio::awaitable<ServerResponse> EndpointReports::handleDeparture(EndpointId endpoint,
@@ -172,7 +176,7 @@
                                        {"started", std::to_string(notice.startedAtMs)},
                                        {"committed", isDurable ? "yes" : "no"},
                                        {"source", source}});
-    changedDepartures_.insert(notice.endpoint);
+    recordChange(feed_.departures, notice.endpoint, false);
     scheduleUpdate();
     if (isDurable)
         notifyWaiters();
@@ -208,12 +212,19 @@
         signal->notify();
 }
 
+void EndpointReports::applyServices(const ServiceConfiguration &config, TimePoint now)
+{
+    recordNamedServices(feed_, table_, config);
+    setServices(table_, config, now);
+    scheduleUpdate();
+}
+
 void EndpointReports::applyUpdate(const EndpointUpdate &update)
 {
     const TimePoint now = RuntimeClock::now();
     PartEvidence news = mergeEvidence(quarantine_, update.partEvidence, now);
     if (!news.isEmpty()) {
-        appendEvidence(pendingEvidence_, std::move(news));
+        recordEvidenceChange(feed_, news, false);
         scheduleUpdate();
     }
     for (const DepartureNotice &notice : update.departures)
@@ -221,7 +232,9 @@
     if (update.changed.empty() && update.heard.empty())
         return;
     handlers_.refreshConfiguration();
-    applyEndpointUpdate(table_, update, now);
+    const std::vector<EndpointReport> changed = applyEndpointUpdate(table_, update, now);
+    for (const EndpointReport &report : changed)
+        recordEndpointChange(feed_, table_, report, true);
     handlers_.onChanged();
 }
 
@@ -252,6 +265,7 @@
         removeExpiredEndpoints(table_, EndpointRetention, now);
         removeExpiredDepartures(table_.departures, DepartureRetention, MaxDepartures, now);
         removeExpiredEvidence(quarantine_, now);
+        removeMissingRows(feed_, tables());
     }
     if (now >= nextHeardUpdateAt_) {
         nextHeardUpdateAt_ = now + HeardUpdateInterval;
@@ -276,7 +290,8 @@
               {"staged", joinTexts(report.stagedModels)},
               {"group", membership ? membership->group : ""},
               {"phase", membership ? std::to_string(static_cast<int>(membership->phase)) : ""}});
-    changedEndpoints_.insert(report.id);
+    recordEndpointChange(feed_, table_, report, false);
+    heardEndpoints_.erase(report.id);
     scheduleUpdate();
 }
 
@@ -298,45 +313,36 @@
 void EndpointReports::sendUpdate()
 {
     isUpdateScheduled_ = false;
-    const bool isEmpty = changedEndpoints_.empty() && heardEndpoints_.empty()
-                         && changedDepartures_.empty() && pendingEvidence_.isEmpty();
-    if (isEmpty)
-        return;
-    const TimePoint now = RuntimeClock::now();
-    EndpointUpdate update;
-    for (const EndpointId &id : changedEndpoints_) {
-        for (const Endpoint *known : findAllEndpoints(table_, id))
-            update.changed.push_back(makeChangedEndpoint(*known, now));
+    const StatePosition position = lastPosition(feed_);
+    if (position != std::exchange(announcedPosition_, position)) {
+        frames_.reset();
+        handlers_.onStateChanged();
     }
-    for (const EndpointId &id : heardEndpoints_) {
-        if (changedEndpoints_.contains(id))
-            continue;
+    sendSignsOfLife(RuntimeClock::now());
+}
+
+void EndpointReports::sendSignsOfLife(TimePoint now)
+{
+    std::vector<EndpointUpdate::HeardEndpoint> heard;
+    for (const EndpointId &id : std::exchange(heardEndpoints_, {})) {
         for (const Endpoint *known : findAllEndpoints(table_, id))
-            update.heard.push_back(
+            heard.push_back(
                     {id, known->report.startedAtMs, toMilliseconds(now - known->lastHeard)});
     }
-    for (const EndpointId &id : changedDepartures_) {
-        if (table_.departures.byEndpoint.contains(id))
-            update.departures.push_back(makeDepartureNotice(table_.departures, id, now));
-    }
-    update.partEvidence = std::exchange(pendingEvidence_, {});
-    changedEndpoints_.clear();
-    heardEndpoints_.clear();
-    changedDepartures_.clear();
-    handlers_.broadcast(update);
+    if (heard.empty())
+        return;
+    for (const EndpointUpdate &part : divide(std::move(heard)))
+        handlers_.broadcast(part);
 }
 
-EndpointUpdate EndpointReports::makeFullUpdate() const
+StateReader EndpointReports::makeReader(const StatePosition &received) const
 {
-    EndpointUpdate update;
-    const TimePoint now = RuntimeClock::now();
-    for (const auto &[id, known] : table_.endpoints)
-        update.changed.push_back(makeChangedEndpoint(known, now));
-    for (const auto &[key, known] : table_.unconfigured)
-        update.changed.push_back(makeChangedEndpoint(known, now));
-    update.partEvidence = allEvidence(quarantine_, now);
-    update.departures = makeDepartureNotices(table_.departures, now);
-    return update;
+    return makeStateReader(feed_, received);
+}
+
+StateFrames::Frame EndpointReports::nextFrame(StateReader &reader)
+{
+    return frames_.next(feed_, tables(), reader, RuntimeClock::now());
 }
 
 ServerResponse EndpointReports::makeErrorResponse(std::uint32_t status,
--- a/src/libgateway/endpointreports.h
+++ b/src/libgateway/endpointreports.h
@@ -3,6 +3,7 @@
 #include "libfleet/fleet.h"
 #include "libgateway/endpointpool.h"
 #include "libgateway/linkmessages.h"
+#include "libgateway/statefeed.h"
 #include "libruntime/signal.h"
 #include "libserving/commands.h"
 
@@ -35,14 +36,20 @@
         // or not. Returns false when this seat does not lead.
         std::function<bool(RecordDepartures, std::function<void(bool isApplied)>)> propose;
 
+        // Sends signs of life to all links.
         std::function<void(const LinkMessage &)> broadcast;
 
+        // Called shortly after changes, for which nextFrame() then has parts.
+        std::function<void()> onStateChanged;
+
         // Called when the table has changed, and shortly after it, once the change was sent.
         std::function<void()> onChanged;
         std::function<void()> onChangeSent;
     };
 
-    EndpointReports(boost::asio::io_context &context, const Dialect &dialect, Handlers handlers);
+    // `process` is the start of this process.
+    EndpointReports(boost::asio::io_context &context, const Dialect &dialect, std::uint64_t process,
+                    Handlers handlers);
 
     EndpointTable &table() { return table_; }
     const EndpointTable &table() const { return table_; }
@@ -52,6 +59,9 @@
     boost::asio::awaitable<ServerResponse> handleHeartbeat(EndpointId endpoint, std::string body);
     boost::asio::awaitable<ServerResponse> handleDeparture(EndpointId endpoint, std::string body);
 
+    // Applies the services of a new configuration.
+    void applyServices(const ServiceConfiguration &config, TimePoint now);
+
     // Applies the update of a control VM or an entry.
     void applyUpdate(const EndpointUpdate &update);
 
@@ -67,13 +77,20 @@
     // regularly.
     void tick(TimePoint now);
 
-    // Returns all that a new link should know.
-    EndpointUpdate makeFullUpdate() const;
+    // Returns a reader of all that a peer should know beyond what it received before.
+    StateReader makeReader(const StatePosition &received) const;
+
+    // Returns the next encoded part for the reader, or null.
+    StateFrames::Frame nextFrame(StateReader &reader);
 
 private:
-    // Applies a report that an endpoint sent here. Returns false when it comes from an unrelated
-    // program that uses the id of an endpoint.
-    bool applyHeartbeat(const EndpointReport &report);
+    // Applies a report that an endpoint sent here.
+    ReportOutcome applyHeartbeat(const EndpointReport &report);
+
+    // Returns whether the report comes from an unrelated program that uses the id of an endpoint.
+    bool isForeign(const EndpointReport &report) const;
+
+    StateTables tables() const { return {table_, quarantine_}; }
 
     // Waits until a recorded departure is committed. Returns false after a time within which the
     // endpoint expects the answer.
@@ -91,6 +108,7 @@
     // Sends an update after a short delay, so that it contains further changes.
     void scheduleUpdate();
     void sendUpdate();
+    void sendSignsOfLife(TimePoint now);
 
     ServerResponse makeErrorResponse(std::uint32_t status, const std::string &text) const;
 
@@ -102,11 +120,13 @@
     // Evidence about parts of prompts of all entries, kept for entries that start.
     PartQuarantine quarantine_;
 
-    // Content of the next update.
-    std::set<EndpointId> changedEndpoints_;
+    // What the links are told of all three.
+    StateFeed feed_;
+    StateFrames frames_;
+    StatePosition announcedPosition_;
+
+    // Endpoints that were heard since the last update and have not changed.
     std::set<EndpointId> heardEndpoints_;
-    std::set<EndpointId> changedDepartures_;
-    PartEvidence pendingEvidence_;
 
     RuntimeTimer updateTimer_;
     bool isUpdateScheduled_ = false;
--- a/src/libgateway/entrydepartures.cpp
+++ b/src/libgateway/entrydepartures.cpp
@@ -29,6 +29,7 @@
     for (const DepartureNotice &notice : notices) {
         if (applyDeparture(state.placement.table, notice, now) != DepartureOutcome::Learned)
             continue;
+        recordChange(state.feed.departures, notice.endpoint, true);
         logDeparture(notice, "link", {});
     }
 }
@@ -45,16 +46,13 @@
     state.metrics.incrementCounter("trefoil_departures_in_answers_total", "");
     logDeparture(notice, "answer", request);
     state.connectionPool.closeDeparted(state.placement.table.departures);
-    state.sendDeparture(notice);
+    recordChange(state.feed.departures, notice.endpoint, false);
+    state.sendState();
 }
 
-std::vector<DepartureNotice> departuresToReport(const EntryState &state)
+StateTables stateTables(const EntryState &state)
 {
-    const DepartureTable &departures = state.placement.table.departures;
-    std::vector<DepartureNotice> notices;
-    for (const EndpointId &id : departures.notDurable)
-        notices.push_back(makeDepartureNotice(departures, id, RuntimeClock::now()));
-    return notices;
+    return {state.placement.table, state.quarantine, true};
 }
 
 void removeExpiredDepartures(EntryState &state, TimePoint now)
--- a/src/libgateway/entrydepartures.h
+++ b/src/libgateway/entrydepartures.h
@@ -14,8 +14,8 @@
 void recordLeavingAnswer(EntryState &state, const Placement &placement, std::uint64_t connectedAtMs,
                          const std::string &request);
 
-// Returns the departures that control VMs have not confirmed.
-std::vector<DepartureNotice> departuresToReport(const EntryState &state);
+// Returns the tables of which the entry tells the control VMs.
+StateTables stateTables(const EntryState &state);
 
 // Removes departures that are too old to matter, and closes idle connections to endpoints that
 // leave.
--- a/src/libgateway/entryprocess.cpp
+++ b/src/libgateway/entryprocess.cpp
@@ -4,6 +4,7 @@
 #include "libgateway/entrydepartures.h"
 #include "libgateway/entrylimits.h"
 #include "libgateway/entryquarantine.h"
+#include "libgateway/messageparts.h"
 #include "libgateway/relaysession.h"
 #include "libruntime/clock.h"
 #include "libruntime/events.h"
@@ -105,7 +106,9 @@
                   handleLinkMessage(address, std::move(message));
               },
               linkLimits(state_.ledger))
-{}
+{
+    state_.feed.process = processStartMs_;
+}
 
 EntryProcess::~EntryProcess() = default;
 
@@ -139,18 +142,13 @@
         nextHelloAt_ = std::min(nextHelloAt_, RuntimeClock::now() + StallReportDelay);
     };
     state_.scheduleEvidence = [this] { scheduleEvidence(); };
-    state_.sendDeparture = [this](const DepartureNotice &notice) {
-        EndpointUpdate update;
-        update.departures.push_back(notice);
-        sendUpdate(update);
+    state_.sendState = [this] {
+        const StatePosition position = lastPosition(state_.feed);
+        if (position == std::exchange(announcedPosition_, position))
+            return;
+        stateFrames_.reset();
+        controlLinks_.notifyState();
     };
-    controlLinks_.setConnectHandler([this](Link &link) {
-        EndpointUpdate update;
-        update.partEvidence = allEvidence(state_.quarantine, RuntimeClock::now());
-        update.departures = departuresToReport(state_);
-        if (!update.partEvidence.isEmpty() || !update.departures.empty())
-            link.send(update);
-    });
     tick();
     logEvent(Event::Started, {{"role", "entry"}, {"address", state_.settings.callerListenAddress}});
 }
@@ -213,6 +211,7 @@
         removeExpiredHoldOffs(state_.placement.holdOffs, now);
         state_.connectionPool.closeExpired(now);
         removeExpiredEvidence(state_.quarantine, now);
+        removeMissingRows(state_.feed, stateTables(state_));
         updateRoster(now);
         logVerdictChanges(state_);
         flushStructuredLog();
@@ -238,7 +237,10 @@
         applyEvidence(state_, update->partEvidence);
     } else if (auto *topology = std::get_if<Topology>(&message)) {
         recordEntries(state_.roster, *topology, RuntimeClock::now());
-        control->knownNodes = std::move(topology->nodes);
+        if (!topology->isContinuation)
+            control->knownNodes.clear();
+        std::move(topology->nodes.begin(), topology->nodes.end(),
+                  std::back_inserter(control->knownNodes));
         for (const KnownNode &node : control->knownNodes) {
             if (node.kind == NodeKind::Control)
                 controlLinks_.addPeer(node.internalAddress, false);
@@ -246,13 +248,26 @@
         updatePeerEntries();
         updateRoster(RuntimeClock::now());
     } else if (const auto *offer = std::get_if<ConfigurationOffer>(&message)) {
-        control->offeredVersion = offer->version;
-        requestConfiguration();
+        applyOffer(*control, *offer);
     } else if (const auto *document = std::get_if<ConfigurationDocument>(&message)) {
-        applyDocument(*document);
+        if (control->link)
+            receiveDocument(*control->link, *document);
     }
 }
 
+// The first offer on a link says what the control VM has received on earlier ones.
+void EntryProcess::applyOffer(ControlLinks::Peer &control, const ConfigurationOffer &offer)
+{
+    if (control.link && !control.link->hasStateSource()) {
+        control.link->setStateSource([this, reader = makeStateReader(state_.feed,
+                                                                     offer.received)]() mutable {
+            return stateFrames_.next(state_.feed, stateTables(state_), reader, RuntimeClock::now());
+        });
+    }
+    control.offeredVersion = offer.version;
+    requestConfiguration();
+}
+
 // Requests the newest configuration from one of the control VMs that offer it.
 void EntryProcess::requestConfiguration()
 {
@@ -273,26 +288,50 @@
         return;
     requestedVersion_ = newest;
     requestedAt_ = now;
-    source->link->send(ConfigurationRequest{newest});
+    const std::uint64_t offset = arrivingVersion_ == newest ? arrivingDocument_.size() : 0;
+    source->link->send(ConfigurationRequest{newest, offset, true});
     // Forgets the offer, so that a repeated request goes to another control VM that offers this
     // version.
     source->offeredVersion = 0;
 }
 
-void EntryProcess::applyDocument(const ConfigurationDocument &document)
+// Adds a part to the document that arrives. Requests the next one or applies the document.
+void EntryProcess::receiveDocument(Link &link, const ConfigurationDocument &part)
 {
-    if (state_.config && document.version <= state_.config->version)
+    if (state_.config && part.version <= state_.config->version)
+        return;
+    if (part.totalBytes == 0) {
+        applyDocument(part.version, part.document);
+        return;
+    }
+    if (part.version > arrivingVersion_) {
+        arrivingVersion_ = part.version;
+        arrivingDocument_.clear();
+    }
+    if (part.version != arrivingVersion_ || part.offset != arrivingDocument_.size())
         return;
-    const auto text = decompressDocument(document.document);
+    arrivingDocument_ += part.document;
+    if (arrivingDocument_.size() >= part.totalBytes) {
+        applyDocument(part.version, std::exchange(arrivingDocument_, {}));
+        return;
+    }
+    requestedVersion_ = part.version;
+    requestedAt_ = RuntimeClock::now();
+    link.send(ConfigurationRequest{part.version, arrivingDocument_.size(), true});
+}
+
+void EntryProcess::applyDocument(std::uint64_t version, const std::string &compressed)
+{
+    const auto text = decompressDocument(compressed);
     if (!text) {
-        logEvent(Event::ConfigurationRefused, {{"version", std::to_string(document.version)},
-                                               {"findings", InvalidDocumentFinding}});
+        logEvent(Event::ConfigurationRefused,
+                 {{"version", std::to_string(version)}, {"findings", InvalidDocumentFinding}});
         return;
     }
     DecodedConfiguration decoded = state_.dialect.decodeConfiguration(*text);
     if (!decoded.config) {
-        logEvent(Event::ConfigurationRefused, {{"version", std::to_string(document.version)},
-                                               {"findings", toText(decoded.findings)}});
+        logEvent(Event::ConfigurationRefused,
+                 {{"version", std::to_string(version)}, {"findings", toText(decoded.findings)}});
         return;
     }
     setServices(state_.placement.table, *decoded.config, RuntimeClock::now());
@@ -303,7 +342,7 @@
     nextConfigurationAt_ =
             RuntimeClock::now() + ConfigurationPausePerByte * static_cast<int>(text->size());
     logEvent(Event::ConfigurationApplied,
-             {{"version", std::to_string(document.version)},
+             {{"version", std::to_string(version)},
               {"routes", std::to_string(state_.config->routes.size())}});
 }
 
@@ -360,19 +399,7 @@
 void EntryProcess::sendEvidence()
 {
     evaluateEvidence(state_);
-    EndpointUpdate update;
-    update.partEvidence = std::exchange(state_.pendingEvidence, {});
-    if (!update.partEvidence.isEmpty())
-        sendUpdate(update);
-}
-
-void EntryProcess::sendUpdate(const EndpointUpdate &update)
-{
-    const std::string frame = encodeLinkFrame(update);
-    for (auto &[address, control] : controlLinks_.peers()) {
-        if (control.link)
-            control.link->sendFrame(frame);
-    }
+    state_.sendState();
 }
 
 void EntryProcess::updatePeerEntries()
@@ -446,10 +473,12 @@
     for (const auto &[endpoint, load] : state_.placement.ownLoads)
         digest.loads.push_back({endpointHash(endpoint), static_cast<float>(load.requests),
                                 static_cast<float>(load.pendingPromptTokens)});
-    const std::string bytes = encodeLoadDigest(digest);
-    for (const auto &[name, endpoint] : peerEntries_) {
-        boost::system::error_code ignored; // A lost digest is replaced by the next one.
-        digestSocket_.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+    for (const LoadDigest &part : divide(digest)) {
+        const std::string bytes = encodeLoadDigest(part);
+        for (const auto &[name, endpoint] : peerEntries_) {
+            boost::system::error_code ignored; // A lost digest is replaced by the next one.
+            digestSocket_.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+        }
     }
 }
 
@@ -483,18 +512,26 @@
     if (!state_.roster.lastSeen.contains(digest.entryName))
         return; // Anyone can send digests, so only known entries take memory.
     PeerLoads &peer = state_.placement.peers[digest.entryName];
-    const bool isOutdated =
-            digest.processStartMs < peer.process
-            || (digest.processStartMs == peer.process && digest.sequence <= peer.sequence);
-    if (isOutdated)
+    const bool isNew =
+            digest.processStartMs > peer.process
+            || (digest.processStartMs == peer.process && digest.sequence > peer.sequence);
+    const bool isNextPart = digest.processStartMs == peer.process
+                            && digest.sequence == peer.sequence && digest.part == peer.nextPart;
+    // After a lost part, the other ones of the digest are left out.
+    if (!isNextPart && (!isNew || digest.part != 0))
         return;
+    if (isNew) {
+        peer.loads.clear();
+        peer.neededEndpoints.clear();
+    }
     peer.process = digest.processStartMs;
     peer.sequence = digest.sequence;
+    peer.nextPart = digest.part + 1;
     peer.receivedAt = RuntimeClock::now();
-    peer.loads.clear();
     for (const LoadDigest::ReportedLoad &reported : digest.loads)
         peer.loads[reported.endpoint] = {reported.requests, reported.pendingPromptTokens};
-    peer.neededEndpoints = digest.neededEndpoints;
+    peer.neededEndpoints.insert(peer.neededEndpoints.end(), digest.neededEndpoints.begin(),
+                                digest.neededEndpoints.end());
     applyLimits(state_, digest, peer.receivedAt);
 }
 
--- a/src/libgateway/entryprocess.h
+++ b/src/libgateway/entryprocess.h
@@ -3,6 +3,7 @@
 #include "libgateway/controllinks.h"
 #include "libgateway/endpointpool.h"
 #include "libgateway/gatewaysettings.h"
+#include "libgateway/statefeed.h"
 #include "libruntime/metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,8 +38,8 @@
     EntryRoster roster;
     PartQuarantine quarantine;
 
-    // Evidence about parts of prompts that has not been sent to the control VMs yet.
-    PartEvidence pendingEvidence;
+    // What the control VMs are told of departures and of evidence about parts of prompts.
+    StateFeed feed;
 
     // Sets of parts that the log named as quarantined.
     std::set<PartSet> loggedVerdicts;
@@ -72,8 +73,8 @@
     // Reports `stalledAt` to the control VMs without waiting for the next hello.
     std::function<void()> sendStallReport;
 
-    // Tells the control VMs that an endpoint said in an answer that it leaves.
-    std::function<void(const DepartureNotice &)> sendDeparture;
+    // Tells the control VMs of changes of `feed`.
+    std::function<void()> sendState;
 
     // Evaluates and sends new evidence after a short delay.
     std::function<void()> scheduleEvidence;
@@ -112,7 +113,9 @@
 
     // Links to control VMs.
     void handleLinkMessage(const std::string &address, LinkMessage &&message);
-    void applyDocument(const ConfigurationDocument &document);
+    void applyOffer(ControlLinks::Peer &control, const ConfigurationOffer &offer);
+    void receiveDocument(Link &link, const ConfigurationDocument &part);
+    void applyDocument(std::uint64_t version, const std::string &compressed);
     void requestConfiguration();
     LinkHello makeHello() const;
 
@@ -120,9 +123,6 @@
     void scheduleEvidence();
     void sendEvidence();
 
-    // Sends evidence or departures to all control VMs.
-    void sendUpdate(const EndpointUpdate &update);
-
     // Exchange of loads with the other entries.
     void receiveDigests();
     void applyDigest(const LoadDigest &digest);
@@ -143,6 +143,8 @@
     EntryState state_;
     std::string internalAddress_;
     std::uint64_t processStartMs_;
+    StateFrames stateFrames_;
+    StatePosition announcedPosition_;
     std::unique_ptr<ChannelListener> callerListener_;
     std::unique_ptr<ChannelListener> readinessListener_;
     std::unique_ptr<ChannelListener> metricsListener_;
@@ -168,6 +170,10 @@
     std::uint64_t requestedVersion_ = 0;
     TimePoint requestedAt_{};
 
+    // The parts of a configuration that have arrived, from any control VM.
+    std::uint64_t arrivingVersion_ = 0;
+    std::string arrivingDocument_;
+
     // No configuration is requested before this time.
     TimePoint nextConfigurationAt_{};
 
--- a/src/libgateway/entryquarantine.cpp
+++ b/src/libgateway/entryquarantine.cpp
@@ -36,7 +36,8 @@
     const PartEvidence news = mergeEvidence(state.quarantine, evidence, now);
     if (news.isEmpty())
         return;
-    appendEvidence(state.pendingEvidence, reportAnswerHistory(state.quarantine, news.ends, now));
+    recordEvidenceChange(state.feed, news, true);
+    recordEvidenceChange(state.feed, reportAnswerHistory(state.quarantine, news.ends, now), false);
     logVerdictChanges(state);
     state.scheduleEvidence();
 }
@@ -46,7 +47,7 @@
     if (evidence.isEmpty())
         return;
     const bool hasVerdicts = !evidence.verdicts.empty();
-    appendEvidence(state.pendingEvidence, std::move(evidence));
+    recordEvidenceChange(state.feed, evidence, false);
     if (hasVerdicts)
         logVerdictChanges(state);
     state.scheduleEvidence();
@@ -57,7 +58,7 @@
     PartEvidence verdicts = evaluateParts(state.quarantine, RuntimeClock::now());
     if (verdicts.isEmpty())
         return;
-    appendEvidence(state.pendingEvidence, std::move(verdicts));
+    recordEvidenceChange(state.feed, verdicts, false);
     logVerdictChanges(state);
 }
 
--- a/src/libgateway/link.cpp
+++ b/src/libgateway/link.cpp
@@ -1,5 +1,7 @@
 #include "libgateway/link.h"
 
+#include "libruntime/events.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -80,6 +82,11 @@
 {
     if (isEnded_)
         return;
+    if (frame.size() > LengthBytes + MaxLinkMessageBytes) {
+        logEvent(Event::LinkMessageTooLong,
+                 {{"peer", channel_->remoteAddress()}, {"bytes", std::to_string(frame.size())}});
+        return;
+    }
     sendBuffer_ += frame;
     if (sendBuffer_.size() > MaxSendBufferBytes) {
         close("the peer does not read");
@@ -89,6 +96,12 @@
     writeSignal_.notify();
 }
 
+void Link::setStateSource(StateSource source)
+{
+    stateSource_ = std::move(source);
+    notifyState();
+}
+
 void Link::holdMessages()
 {
     if (!isEnded_ && !channel_->hold(sendBuffer_.capacity() + writingBytes_))
@@ -149,12 +162,19 @@
 {
     const auto self = shared_from_this();
     while (!isEnded_) {
-        if (sendBuffer_.empty()) {
+        const std::string messages = std::exchange(sendBuffer_, {});
+        std::shared_ptr<const std::string> part;
+        if (messages.empty() && stateSource_)
+            part = stateSource_();
+        const std::string &bytes = part ? *part : messages;
+        if (bytes.empty()) {
             co_await writeSignal_.wait();
             continue;
         }
-        const std::string bytes = std::exchange(sendBuffer_, {});
         writingBytes_ = bytes.capacity();
+        holdMessages();
+        if (isEnded_)
+            break;
         const bool isWritten = co_await channel_->write(bytes, RuntimeClock::now() + timeout_);
         writingBytes_ = 0;
         holdMessages();
@@ -170,6 +190,7 @@
     if (isEnded_)
         return;
     isEnded_ = true;
+    stateSource_ = nullptr;
     channel_->setChangeSignal(nullptr);
     channel_->close();
     readSignal_.notify();
--- a/src/libgateway/linkmessages.cpp
+++ b/src/libgateway/linkmessages.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-// Decodes a message of which up to four lists at the end may be missing.
+// Decodes a message of which up to four lists and a position at the end may be missing.
 template <class Message>
-Message decodeWithMissingLists(std::string_view bytes)
+Message decodeWithMissingFields(std::string_view bytes)
 {
     // An empty list is encoded as eight zero bytes.
-    constexpr std::size_t maxMissingBytes = 4 * sizeof(std::uint64_t);
+    constexpr std::size_t maxMissingBytes =
+            4 * sizeof(std::uint64_t) + sizeof(StatePosition) + sizeof(bool);
     return decode<Message>(std::string(bytes) + std::string(maxMissingBytes, '\0'));
 }
 
@@ -32,6 +33,12 @@
             r.sequence, r.stagedModels, r.membership);
 }
 
+template <class Archive>
+void serialize(Archive &archive, StatePosition &p)
+{
+    archive(p.process, p.departures, p.endpoints, p.evidence, p.unconfigured);
+}
+
 template <class Archive>
 void serialize(Archive &archive, LinkHello::EndpointProgress &p)
 {
@@ -49,7 +56,7 @@
 {
     archive(h.kind, h.name, h.domain, h.internalAddress, h.publicAddress, h.processStartMs, h.seat,
             h.isReady, h.requestCount, h.progress, h.stalledHeads, h.demandByModel, h.leaderTerm,
-            h.leaderAddress, h.limitedHeads);
+            h.leaderAddress, h.limitedHeads, h.received, h.isContinuation);
 }
 
 template <class Archive>
@@ -110,7 +117,7 @@
 template <class Archive>
 void serialize(Archive &archive, EndpointUpdate &u)
 {
-    archive(u.changed, u.heard, u.partEvidence, u.departures);
+    archive(u.changed, u.heard, u.partEvidence, u.departures, u.position);
 }
 
 template <class Archive>
@@ -129,25 +136,25 @@
 template <class Archive>
 void serialize(Archive &archive, Topology &t)
 {
-    archive(t.nodes, t.rememberedEntries);
+    archive(t.nodes, t.rememberedEntries, t.isContinuation);
 }
 
 template <class Archive>
 void serialize(Archive &archive, ConfigurationOffer &o)
 {
-    archive(o.version);
+    archive(o.version, o.received);
 }
 
 template <class Archive>
 void serialize(Archive &archive, ConfigurationRequest &r)
 {
-    archive(r.version);
+    archive(r.version, r.offset, r.takesParts);
 }
 
 template <class Archive>
 void serialize(Archive &archive, ConfigurationDocument &d)
 {
-    archive(d.version, d.document);
+    archive(d.version, d.document, d.offset, d.totalBytes);
 }
 
 template <class Archive>
@@ -172,20 +179,24 @@
 void serialize(Archive &archive, LoadDigest &d)
 {
     archive(d.entryName, d.processStartMs, d.sequence, d.loads, d.limits, d.neededEndpoints,
-            d.grants);
+            d.grants, d.part);
 }
 
-void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update, TimePoint now)
+std::vector<EndpointReport> applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
+                                                TimePoint now)
 {
+    std::vector<EndpointReport> changes;
     for (const EndpointUpdate::ChangedEndpoint &changed : update.changed) {
         const Duration age = std::chrono::milliseconds(changed.ageMs);
-        applyReport(table, changed.report, age, now);
+        if (applyReport(table, changed.report, age, now) == ReportOutcome::Changed)
+            changes.push_back(changed.report);
         if (changed.hasLeft)
             applyDeparture(table, {changed.report.id, changed.report.startedAtMs}, now);
     }
     for (const EndpointUpdate::HeardEndpoint &heard : update.heard)
         recordSignOfLife(table, heard.endpoint, heard.startedAtMs,
                          std::chrono::milliseconds(heard.ageMs), now);
+    return changes;
 }
 
 void recordEntries(EntryRoster &roster, const Topology &topology, TimePoint now)
@@ -210,12 +221,12 @@
 
 LinkMessage decodeLinkMessage(std::string_view bytes)
 {
-    return decodeWithMissingLists<LinkMessage>(bytes);
+    return decodeWithMissingFields<LinkMessage>(bytes);
 }
 
 LoadDigest decodeLoadDigest(std::string_view bytes)
 {
-    return decodeWithMissingLists<LoadDigest>(bytes);
+    return decodeWithMissingFields<LoadDigest>(bytes);
 }
 
 } // namespace Trefoil
--- a/src/libgateway/linkmessages.h
+++ b/src/libgateway/linkmessages.h
@@ -13,8 +13,26 @@
 
 namespace Trefoil {
 
+// Largest message that each node takes on a link. What may be larger goes in parts.
+constexpr std::size_t MaxLinkMessageBytes = 256 * 1024;
+
 enum class NodeKind : std::uint8_t { Entry, Control };
 
+// How far a node has received the state of another one, see StateFeed.
+struct StatePosition
+{
+    // Start of the process whose state it is, 0 for none.
+    std::uint64_t process = 0;
+
+    // Numbers of the last changes that were received.
+    std::uint64_t departures = 0;
+    std::uint64_t endpoints = 0;
+    std::uint64_t evidence = 0;
+    std::uint64_t unconfigured = 0;
+
+    bool operator==(const StatePosition &) const = default;
+};
+
 // Describes the node that opened a link. Sent first on the link and then periodically.
 struct LinkHello
 {
@@ -68,6 +86,12 @@
         double slots = 0;
     };
     std::vector<LimitedHead> limitedHeads;
+
+    // How far this node has received the peer's state. Only in the first hello on a link.
+    StatePosition received;
+
+    // The lists of this hello belong to the one before.
+    bool isContinuation = false;
 };
 
 // Messages of the replicated log between seats.
@@ -76,8 +100,7 @@
     std::vector<RaftMessage> messages;
 };
 
-// Changes of the endpoint table of a control VM, or its whole content on a new link, and evidence
-// about parts of prompts.
+// Some rows of the tables of endpoints, departures and evidence about parts of prompts.
 struct EndpointUpdate
 {
     struct ChangedEndpoint
@@ -102,6 +125,9 @@
     PartEvidence partEvidence;
 
     std::vector<DepartureNotice> departures;
+
+    // The receiver has all changes up to this one. Empty for signs of life.
+    StatePosition position;
 };
 
 // What a control VM knows of a connected node or of itself.
@@ -133,29 +159,46 @@
         std::uint32_t ageMs = 0; // since it was last connected to a control VM
     };
     std::vector<RememberedEntry> rememberedEntries;
+
+    // The nodes are more of those of the topology before.
+    bool isContinuation = false;
 };
 
-// Announces the newest configuration version of a control VM.
+// Announces the newest configuration version of a control VM. Replies to each hello.
 struct ConfigurationOffer
 {
     std::uint64_t version = 0;
+
+    // How far the control VM has received the state of the node that it replies to.
+    StatePosition received;
 };
 
+// Requests the part of the document that begins at `offset`, or the whole document if the node does
+// not take parts.
 struct ConfigurationRequest
 {
     std::uint64_t version = 0;
+    std::uint64_t offset = 0;
+    bool takesParts = false;
 };
 
 struct ConfigurationDocument
 {
     std::uint64_t version = 0;
 
-    // Compressed text.
+    // Compressed text or a part of it.
     std::string document;
+
+    std::uint64_t offset = 0;
+
+    // Size of the whole compressed text, 0 if this is all of it.
+    std::uint64_t totalBytes = 0;
 };
 
-// Merges the reports and signs of life of an update into `table`.
-void applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update, TimePoint now);
+// Merges the reports and signs of life of an update into `table`. Returns the reports that changed
+// it.
+std::vector<EndpointReport> applyEndpointUpdate(EndpointTable &table, const EndpointUpdate &update,
+                                                TimePoint now);
 
 // Records the entries that a control VM is connected to or remembers.
 void recordEntries(EntryRoster &roster, const Topology &topology, TimePoint now);
@@ -186,6 +229,9 @@
     std::vector<LimitReport> limits;
     std::vector<EndpointHash> neededEndpoints;
     std::vector<LimitGrant> grants;
+
+    // Number of this part of the digest. The rows of later parts add to those of the first one.
+    std::uint32_t part = 0;
 };
 
 std::string encodeLinkMessage(const LinkMessage &message);
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -68,6 +68,7 @@
         {Event::ConfigurationApplied, Info, "a configuration is in force here"},
         {Event::LinkConnected, Info, "a link to a control VM is up"},
         {Event::LinkLost, Warning, "a link to a control VM ended"},
+        {Event::LinkMessageTooLong, Error, "a message to a peer is too long and was left out"},
         {Event::SeatsChanged, Info, "the leader changes the seats"},
         {Event::DiskFailed, Error, "a disk write failed; the seat recovers from its disk"},
         {Event::SettingsReloaded, Info, "the settings were read again"},
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -64,6 +64,7 @@
     ConfigurationApplied = 612,
     LinkConnected = 620,
     LinkLost = 621,
+    LinkMessageTooLong = 625,
     SeatsChanged = 622,
     DiskFailed = 623,
     SettingsReloaded = 624,
--- a/tests/crowds/gatewaysystem.cpp
+++ b/tests/crowds/gatewaysystem.cpp
@@ -18,6 +18,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <set>
 #include <sstream>
 
@@ -57,6 +58,18 @@
     return "\"" + text + "\"";
 }
 
+// Returns text that cannot be compressed to much less than its size.
+std::string randomText(std::size_t bytes)
+{
+    constexpr char firstCharacter = '0';
+    constexpr unsigned characters = 42;
+    std::mt19937_64 rng(1);
+    std::string text;
+    for (std::size_t i = 0; i < bytes; ++i)
+        text += static_cast<char>(firstCharacter + rng() % characters);
+    return text;
+}
+
 std::string makeConfiguration(const GatewaySystemOptions &options)
 {
     json::object route{{"name", "book"},          {"host", Host},
@@ -76,8 +89,12 @@
         routes.push_back(StandInEngine::makeRoute(Host, false));
         services.push_back(StandInEngine::makeService());
     }
-    return json::serialize(json::object{
-            {"version", 1}, {"routes", routes}, {"services", services}, {"limits", limits}});
+    return json::serialize(
+            json::object{{"version", 1},
+                         {"routes", routes},
+                         {"services", services},
+                         {"limits", limits},
+                         {"padding", randomText(options.configurationPaddingBytes)}});
 }
 
 // Returns the value in bytes of a line of /proc/PID/status, which counts in kB.
@@ -262,13 +279,21 @@
     co_return co_await serveOneRequest();
 }
 
+void GatewaySystem::restart(GatewayNode &node)
+{
+    ::kill(node.process->id(), SIGTERM);
+    node.process->wait();
+    startNode(node);
+}
+
 asio::awaitable<bool> GatewaySystem::publishConfiguration()
 {
+    const std::string body = makeConfiguration(options_);
     for (int tries = 0; tries < MaxTries; ++tries) {
         HttpCall call;
         call.address = controlAddress(static_cast<std::size_t>(tries) % controls.size());
         call.target = "/trefoilrun/configuration/replace";
-        call.body = makeConfiguration(options_);
+        call.body = body;
         const HttpCallResult result = co_await callHttp(std::move(call));
         if (result.status == 200)
             co_return true;
--- a/tests/crowds/gatewaysystem.h
+++ b/tests/crowds/gatewaysystem.h
@@ -29,6 +29,9 @@
     // Engines of the service `drafts`, which form groups of two.
     std::size_t engines = 0;
 
+    // Text in the published configuration that cannot be compressed.
+    std::size_t configurationPaddingBytes = 0;
+
     // Limits of requests in the published configuration.
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
@@ -107,6 +110,9 @@
     // Reads the configuration until it is answered. Returns false when it never is.
     boost::asio::awaitable<bool> readConfiguration();
 
+    // Stops the process, waits for its end and starts it again.
+    void restart(GatewayNode &node);
+
     // Returns the control VM that leads, or null.
     boost::asio::awaitable<GatewayNode *> findLeader();
 
--- a/tests/crowds/test_controllinks.cpp
+++ b/tests/crowds/test_controllinks.cpp
@@ -1,13 +1,42 @@
 #define BOOST_TEST_MODULE controllinks
 #include "crowds/systemfixture.h"
 
-// Tests that control VMs, as real processes, learn from each other what only one of them was told.
+#include <csignal>
+
+// Tests that control VMs, as real processes, learn from each other what only one of them was told,
+// however much it is.
 
 namespace Trefoil {
 
 namespace {
 
 namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// Longer than links wait for a silent peer.
+constexpr auto FreezeTime = milliseconds(2500);
+
+// Reports to the control VM in the names of workers of another fleet, of a service that no
+// configuration names, with many models each.
+asio::awaitable<void> reportForeignWorkers(std::string address, std::size_t count)
+{
+    constexpr std::size_t models = 300;
+    std::string staged;
+    for (std::size_t i = 0; i < models; ++i)
+        staged += (i == 0 ? "" : ",")
+                  + ("\"adapter-of-a-large-catalogue-" + std::to_string(i) + "\"");
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string number = std::to_string(i);
+        HttpCall call;
+        call.address = address;
+        call.target = "/trefoilrun/instances/foreign-" + number + "/heartbeat";
+        call.body = R"({"service":"catalogue","address":"127.46.9.1:)" + std::to_string(9000 + i)
+                    + R"(","zone":"d1","slots":6,"state":"ready","sequence":1,"born":5,)"
+                    + R"("models":[],"staged":[)" + staged + "]}";
+        const HttpCallResult answer = co_await callHttp(std::move(call));
+        BOOST_CHECK_EQUAL(answer.status, 200);
+    }
+}
 
 } // namespace
 
@@ -81,4 +110,51 @@
     });
 }
 
+// Reports of another fleet are larger than a message. Links that break are then never up again, so
+// that control loses its quorum and an entry that restarts learns nothing.
+BOOST_FIXTURE_TEST_CASE(foreign_reports_end_links_between_nodes, SystemFixture)
+{
+    options.controlVms = 3;
+    run([&]() -> asio::awaitable<void> {
+        co_await reportForeignWorkers(addressOf(system->controls[0], ControlPort), 400);
+        for (std::size_t i = 1; i < 3; ++i) {
+            ::kill(system->controls[i].process->id(), SIGSTOP);
+            co_await sleepFor(FreezeTime);
+            ::kill(system->controls[i].process->id(), SIGCONT);
+            co_await sleepFor(FreezeTime);
+        }
+        GatewayNode *leader = co_await system->findLeader();
+        BOOST_REQUIRE(leader);
+        for (const GatewayNode &control : system->controls) {
+            const bool isLinked = co_await reaches(control, "links_accepted", 3);
+            BOOST_CHECK_MESSAGE(isLinked, control.name + " lacks links");
+        }
+        system->restart(system->entry);
+        const bool isServed = co_await system->serveOneRequest();
+        BOOST_CHECK(isServed);
+    });
+}
+
+// The compressed text is larger than the buffers of all links.
+BOOST_FIXTURE_TEST_CASE(large_configuration_ends_links_between_nodes, SystemFixture)
+{
+    options.controlVms = 3;
+    options.memoryMb = 256;
+    options.configurationPaddingBytes = 7 * 1024 * 1024;
+    run([&]() -> asio::awaitable<void> {
+        // A control VM that comes back receives the log in the same way.
+        for (GatewayNode &control : system->controls)
+            system->restart(control);
+        GatewayNode *leader = co_await system->findLeader();
+        BOOST_REQUIRE(leader);
+        for (const GatewayNode &control : system->controls) {
+            const bool hasVersion = co_await reaches(control, "configuration_version", 1);
+            BOOST_CHECK_MESSAGE(hasVersion, control.name + " lacks the configuration");
+        }
+        system->restart(system->entry);
+        const bool isServed = co_await system->serveOneRequest();
+        BOOST_CHECK(isServed);
+    });
+}
+
 } // namespace Trefoil
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -369,6 +369,23 @@
     logFault(soak, "the prompt part ends no more engines");
 }
 
+// Lets the workers of another fleet, of a service that is not configured, report themselves and
+// their many models for a part of the test.
+asio::awaitable<void> runForeignFleet(SoakState &soak)
+{
+    constexpr auto reportInterval = seconds(2);
+    co_await sleepFor(randomDuration(soak, Duration::zero(), soak.options.duration / 4));
+    const TimePoint until =
+            RuntimeClock::now()
+            + randomDuration(soak, soak.options.duration / 2, soak.options.duration * 3 / 4);
+    logFault(soak, "another fleet reports");
+    while (RuntimeClock::now() < until) {
+        co_await sendForeignReports(soak);
+        co_await sleepFor(reportInterval);
+    }
+    logFault(soak, "the other fleet reports no more");
+}
+
 // Lets the endpoints reject most requests for a part of the test.
 asio::awaitable<void> runRejections(SoakState &soak)
 {
@@ -411,6 +428,7 @@
     asio::co_spawn(soak.context, runLimits(soak), asio::detached);
     asio::co_spawn(soak.context, runRejections(soak), asio::detached);
     asio::co_spawn(soak.context, runEndingPart(soak), asio::detached);
+    asio::co_spawn(soak.context, runForeignFleet(soak), asio::detached);
     const TimePoint until = RuntimeClock::now() + soak.options.duration;
     asio::co_spawn(soak.context, runMisbehavingClients(soak, until), asio::detached);
     ActiveFaults active;
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -670,6 +670,24 @@
     restartEndpoint(soak, endpoint);
 }
 
+asio::awaitable<void> sendForeignReports(SoakState &soak)
+{
+    constexpr std::size_t workers = 150;
+    constexpr std::size_t models = 300;
+    EndpointReport report;
+    report.service = "catalogue";
+    report.fabric = "rack";
+    report.startedAtMs = 1'000'000'000;
+    report.sequence = wallTimeMs();
+    for (std::size_t i = 0; i < models; ++i)
+        report.stagedModels.push_back("adapter-of-a-large-catalogue-" + std::to_string(i));
+    for (std::size_t i = 0; i < workers; ++i) {
+        report.id = "foreign-" + std::to_string(i);
+        report.address = "127.250.0.1:" + std::to_string(EndpointPort + i);
+        co_await postReport(soak, {}, report.id, encodeReport(report));
+    }
+}
+
 asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint)
 {
     if (endpoint.isEngine && isRunning(endpoint) && randomBelow(soak, 3) == 0) {
--- a/tests/soak/standinservers.h
+++ b/tests/soak/standinservers.h
@@ -50,6 +50,9 @@
 // Returns the report that the endpoint sends.
 EndpointReport &findReport(SoakState &soak, SoakEndpoint &endpoint);
 
+// Reports once for each worker of another fleet, of a service that no configuration names.
+boost::asio::awaitable<void> sendForeignReports(SoakState &soak);
+
 // Sends a false report that gives the endpoint's address, with an unknown service and a later start
 // time. Some of these reports are truncated.
 boost::asio::awaitable<void> sendFalseReport(SoakState &soak, const SoakEndpoint &endpoint);
--- a/tests/support/controlcluster.cpp
+++ b/tests/support/controlcluster.cpp
@@ -13,6 +13,24 @@
 constexpr double MessageDuplicationRate = 0.05;
 constexpr double MaxClockDrift = 0.01;
 
+// Largest message that a seat takes. A larger one is lost.
+constexpr std::size_t MaxMessageBytes = 4 * 1024;
+
+std::size_t messageBytes(const RaftMessage &message)
+{
+    std::size_t bytes = message.chunk.size();
+    for (const LogEntry &entry : message.entries)
+        bytes += entry.payload.size();
+    return bytes;
+}
+
+// Returns an endpoint's id. Some are larger than a message.
+std::string departedEndpoint(std::uint64_t number)
+{
+    const std::size_t length = number % 4 == 0 ? MaxMessageBytes + 1000 : 0;
+    return "e" + std::to_string(number) + std::string(length, 'x');
+}
+
 std::string describe(const CommandIdentity &identity)
 {
     return identity.operatorName + "/" + std::to_string(identity.number);
@@ -61,7 +79,8 @@
     recovered.entries = seat.durable.entries;
     ControlSeatOptions options;
     options.entriesBetweenSnapshots = options_.entriesBetweenSnapshots;
-    options.raft.snapshotChunkBytes = 512;
+    options.raft.snapshotChunkBytes = 2048;
+    options.raft.maxBytesPerMessage = 1024;
     seat.state = makeControlSeat(recovered, options, rng_(), localTimeOf(seat));
     seat.writes.clear();
     seat.messagesWhilePaused.clear();
@@ -127,7 +146,8 @@
     if (target == seats_.end())
         return;
     const auto to = static_cast<std::size_t>(target - seats_.begin());
-    if (blockedLinks_.contains({from, to}) || drawChance(messageLossRate_))
+    if (blockedLinks_.contains({from, to}) || drawChance(messageLossRate_)
+        || messageBytes(message) > MaxMessageBytes)
         return;
     std::uniform_int_distribution<Duration::rep> delay(Duration(MinMessageDelay).count(),
                                                        Duration(MaxMessageDelay).count());
@@ -223,7 +243,7 @@
 // for another text is refused.
 void ControlCluster::proposeDeparture(std::uint64_t number)
 {
-    const std::string endpoint = "e" + std::to_string(number);
+    const std::string endpoint = departedEndpoint(number);
     for (std::size_t index = 0; index < seats_.size(); ++index) {
         SimulatedSeat &seat = seats_[index];
         if (!seat.isUp || now_ < seat.pausedUntil)
--- a/tests/test_addedservices.cpp
+++ b/tests/test_addedservices.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE addedservices
 #include "libgateway/endpointreports.h"
+#include "support/stateparts.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -142,13 +143,16 @@
     handlers.refreshConfiguration = [&] { setServices(reports->table(), config, Start); };
     handlers.reportAddress = [] { return std::string(); };
     handlers.propose = [](const RecordDepartures &, const auto &) { return false; };
+    StateReader link;
     handlers.broadcast = [&](const LinkMessage &message) {
         updates.push_back(std::get<EndpointUpdate>(message));
     };
+    handlers.onStateChanged = [&] { receiveParts(*reports, link, updates); };
     handlers.onChanged = [] {};
     handlers.onChangeSent = [] {};
-    EndpointReports control(context, *findDialect("platform"), std::move(handlers));
+    EndpointReports control(context, *findDialect("platform"), 1, std::move(handlers));
     reports = &control;
+    link = control.makeReader({});
     const std::string body = R"({"service":"booking-api","address":"10.0.0.1:80","slots":6,)"
                              R"("state":"ready","sequence":7,"born":5})";
     boost::asio::co_spawn(context, control.handleHeartbeat("e1", body), boost::asio::detached);
@@ -161,7 +165,11 @@
     // A new link gets it as well.
     EndpointTable later;
     setServices(later, makeConfiguration({"booking-api"}), Start);
-    applyEndpointUpdate(later, control.makeFullUpdate(), Start);
+    std::vector<EndpointUpdate> parts;
+    StateReader newLink = control.makeReader({});
+    receiveParts(control, newLink, parts);
+    BOOST_REQUIRE_EQUAL(parts.size(), 1);
+    applyEndpointUpdate(later, parts[0], Start);
     BOOST_CHECK(isInUse(later, "e1", Start));
 }
 
@@ -178,9 +186,10 @@
     handlers.reportAddress = [] { return std::string(); };
     handlers.propose = [](const RecordDepartures &, const auto &) { return false; };
     handlers.broadcast = [](const LinkMessage &) {};
+    handlers.onStateChanged = [] {};
     handlers.onChanged = [] {};
     handlers.onChangeSent = [] {};
-    EndpointReports control(context, *findDialect("platform"), std::move(handlers));
+    EndpointReports control(context, *findDialect("platform"), 1, std::move(handlers));
     reports = &control;
     const auto report = [&](const std::string &service, int sequence, const std::string &more) {
         const std::string body = R"({"service":")" + service + R"(","address":"10.0.0.1:80",)"
--- a/tests/test_departures.cpp
+++ b/tests/test_departures.cpp
@@ -2,6 +2,7 @@
 #include "libfleet/fleet.h"
 #include "libgateway/endpointreports.h"
 #include "libnode/controlseat.h"
+#include "support/stateparts.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/test/unit_test.hpp>
@@ -61,7 +62,8 @@
     std::vector<RecordDepartures> proposals;
     std::vector<std::function<void(bool)>> proposalEnds;
     std::vector<EndpointUpdate> updates;
-    EndpointReports reports{context, *findDialect("platform"), makeHandlers()};
+    EndpointReports reports{context, *findDialect("platform"), 1, makeHandlers()};
+    StateReader link = reports.makeReader({});
 
     EndpointReports::Handlers makeHandlers()
     {
@@ -78,6 +80,7 @@
         handlers.broadcast = [this](const LinkMessage &message) {
             updates.push_back(std::get<EndpointUpdate>(message));
         };
+        handlers.onStateChanged = [this] { receiveParts(reports, link, updates); };
         handlers.onChanged = [] {};
         handlers.onChangeSent = [] {};
         return handlers;
@@ -301,8 +304,13 @@
     EndpointTable entry;
     setServices(entry, restarted.config, Start);
     applyReport(entry, makeReport(5, 7), {}, Start);
-    for (const DepartureNotice &notice : restarted.reports.makeFullUpdate().departures)
-        applyDeparture(entry, notice, Start);
+    std::vector<EndpointUpdate> parts;
+    StateReader newLink = restarted.reports.makeReader({});
+    receiveParts(restarted.reports, newLink, parts);
+    for (const EndpointUpdate &part : parts) {
+        for (const DepartureNotice &notice : part.departures)
+            applyDeparture(entry, notice, Start);
+    }
     BOOST_CHECK(!isInUse(entry));
 }
 
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -402,8 +402,16 @@
 {
     EndpointUpdate update;
     update.heard = {{"e1", 5, 6}};
+    update.departures = {{"e2", 7, 8, true}};
     std::string bytes = encodeLinkMessage(update);
-    bytes.resize(bytes.size() - 4 * sizeof(std::uint64_t));
+    // The version before sends no position, those before it no departures and no evidence either.
+    bytes.resize(bytes.size() - sizeof(StatePosition));
+    const auto withoutPosition = std::get<EndpointUpdate>(decodeLinkMessage(bytes));
+    BOOST_CHECK(withoutPosition.departures == update.departures);
+    BOOST_CHECK(withoutPosition.position == StatePosition{});
+    update.departures.clear();
+    bytes = encodeLinkMessage(update);
+    bytes.resize(bytes.size() - sizeof(StatePosition) - 4 * sizeof(std::uint64_t));
     const auto decoded = std::get<EndpointUpdate>(decodeLinkMessage(bytes));
     BOOST_CHECK_EQUAL(decoded.heard.size(), 1);
     BOOST_CHECK(decoded.partEvidence.isEmpty());
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -156,8 +156,9 @@
     // Bytes that the caller received.
     std::string callerInput;
 
-    // Departures of which the entry told the control VMs.
+    // Departures of which the entry told a control VM.
     std::vector<DepartureNotice> sentDepartures;
+    StateReader link = makeStateReader(state.feed, {});
 
     RelayFixture()
     {
@@ -168,9 +169,7 @@
         listen(second);
         listen(third);
         state.sendStallReport = [] {};
-        state.sendDeparture = [this](const DepartureNotice &notice) {
-            sentDepartures.push_back(notice);
-        };
+        state.sendState = [this] { receiveDepartures(link, sentDepartures); };
         state.scheduleEvidence = [this] { evaluateEvidence(state); };
         entryListener = std::make_unique<ChannelListener>(
                 context, loopbackWithFreePort(), InputCapacity, [this](ChannelPointer channel) {
@@ -179,6 +178,13 @@
                 });
     }
 
+    void receiveDepartures(StateReader &reader, std::vector<DepartureNotice> &departures)
+    {
+        while (const auto part =
+                       nextPart(state.feed, stateTables(state), reader, RuntimeClock::now()))
+            departures.insert(departures.end(), part->departures.begin(), part->departures.end());
+    }
+
     static GatewaySettings makeSettings()
     {
         GatewaySettings settings;
@@ -1194,7 +1200,10 @@
         BOOST_CHECK_GE(fixture.second.receivedHeads.size(), 2);
         BOOST_REQUIRE_EQUAL(fixture.sentDepartures.size(), 1);
         BOOST_CHECK_EQUAL(fixture.sentDepartures[0].endpoint, "e1");
-        BOOST_CHECK_EQUAL(departuresToReport(fixture.state).size(), 1);
+        std::vector<DepartureNotice> sentOnNewLink;
+        StateReader newLink = makeStateReader(fixture.state.feed, {});
+        fixture.receiveDepartures(newLink, sentOnNewLink);
+        BOOST_CHECK_EQUAL(sentOnNewLink.size(), 1);
         BOOST_CHECK_EQUAL(fixture.state.connectionPool.idleCount(), 1);
     }
 }
