--- a/src/libfleet/fleet.h
+++ b/src/libfleet/fleet.h
@@ -17,6 +17,7 @@
 #include "libfleet/partquarantine.h"
 #include "libfleet/placement.h"
 #include "libfleet/promptparts.h"
+#include "libfleet/requestevidence.h"
 #include "libfleet/retrybudget.h"
 #include "libfleet/seatplan.h"
 #include "libfleet/serviceconfiguration.h"
--- a/src/libgateway/endpointattempt.cpp
+++ b/src/libgateway/endpointattempt.cpp
@@ -230,8 +230,7 @@
     Channel &channel = *attempt->connection.channel;
     channel.setChangeSignal(&context.signal);
     ++progress.sendCount;
-    attempt->mayHaveExecutedBefore = progress.mayHaveExecuted;
-    progress.mayHaveExecuted = true;
+    request.sends.recordSend();
     channel.setUse(MemoryUse::Running);
     attempt->sentAt = RuntimeClock::now();
     const std::string head = makeRequestHead(context, request, progress, placement);
@@ -241,11 +240,11 @@
     co_return attempt;
 }
 
-void endAttempt(RelayContext &context, RelayRequest &request, RelayProgress &progress,
-                EndpointAttempt &attempt, AttemptOutcome outcome)
+void endAttempt(RelayContext &context, RelayRequest &request, EndpointAttempt &attempt,
+                AttemptOutcome outcome)
 {
-    if (outcome == AttemptOutcome::NotExecuted)
-        progress.mayHaveExecuted = attempt.mayHaveExecutedBefore;
+    if (attempt.refusal)
+        request.sends.recordRefusal(*attempt.refusal);
     attempt.connection.channel->setChangeSignal(nullptr);
     const bool isComplete = outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Failed
                             || outcome == AttemptOutcome::NotExecuted;
@@ -286,13 +285,15 @@
     EndpointAttempt &takeover = *progress.takeover;
     const TimePoint now = RuntimeClock::now();
     const bool isAnswered = state == TakeoverState::Refused;
-    if (isAnswered)
+    if (isAnswered) {
+        takeover.refusal = readEndpointRefusal(context, request, takeover.connection, head);
         recordAnswer(context.state, request, takeover.placement, takeover.connection, head,
                      takeover.sentAt);
+    }
     recordAttempt(context.state.placement, takeover.placement.endpoint,
                   isAnswered ? EndpointResult::Refused : EndpointResult::Failed, {}, now);
     logTakeover(request, progress, isAnswered ? "refused" : "failed");
-    endAttempt(context, request, progress, takeover, AttemptOutcome::Unknown);
+    endAttempt(context, request, takeover, AttemptOutcome::Unknown);
     progress.takeover.reset();
     return false;
 }
@@ -302,7 +303,7 @@
     if (!progress.takeover)
         return;
     logTakeover(request, progress, "canceled");
-    endAttempt(context, request, progress, *progress.takeover, AttemptOutcome::Unknown);
+    endAttempt(context, request, *progress.takeover, AttemptOutcome::Unknown);
     progress.takeover.reset();
 }
 
--- a/src/libgateway/endpointattempt.h
+++ b/src/libgateway/endpointattempt.h
@@ -18,8 +18,8 @@
                                                             const Placement &placement);
 
 // Ends an attempt. Its connection is kept when the endpoint has answered completely.
-void endAttempt(RelayContext &context, RelayRequest &request, RelayProgress &progress,
-                EndpointAttempt &attempt, AttemptOutcome outcome);
+void endAttempt(RelayContext &context, RelayRequest &request, EndpointAttempt &attempt,
+                AttemptOutcome outcome);
 
 // Chooses the endpoint of the next attempt. Returns no placement, with the reason in
 // `progress.lastReason`, when the request must not be sent now.
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -25,6 +25,7 @@
 {
     switch (progress.lastOutcome) {
     case AttemptOutcome::NotExecuted:
+        return isRepeatable(*request.route) || request.sends.proveNotRun();
     case AttemptOutcome::Moved:
         return true;
     case AttemptOutcome::Failed:
@@ -114,7 +115,7 @@
         progress.isConnectionLost = false;
         outcome = AttemptOutcome::OutOfMemory;
     }
-    endAttempt(context, request, progress, attempt, outcome);
+    endAttempt(context, request, attempt, outcome);
     co_return outcome;
 }
 
--- a/src/libgateway/relayrefusal.cpp
+++ b/src/libgateway/relayrefusal.cpp
@@ -7,13 +7,13 @@
 
 namespace asio = boost::asio;
 
-asio::awaitable<bool> sendErrorResponse(RelayContext &context, std::uint32_t status,
+asio::awaitable<bool> sendErrorResponse(RelayContext &context, ErrorStatus status,
                                         std::string_view text, std::vector<HttpField> fields,
                                         bool keepsAlive)
 {
     HttpHead head;
-    head.status = status;
-    head.reason = std::string(reasonPhrase(status));
+    head.status = status.value();
+    head.reason = std::string(reasonPhrase(head.status));
     head.fields = std::move(fields);
     const std::string body = context.state.dialect.encodeError(text);
     head.fields.push_back({"Content-Type", "application/json"});
@@ -26,8 +26,7 @@
     co_return isWritten &&keepsAlive;
 }
 
-asio::awaitable<void> refuseUnread(RelayContext &context, std::uint32_t status,
-                                   std::string_view text)
+asio::awaitable<void> refuseUnread(RelayContext &context, ErrorStatus status, std::string_view text)
 {
     context.channel->hold(0);
     co_await sendErrorResponse(context, status, text, {}, false);
@@ -38,23 +37,24 @@
 {
     context.state.metrics.incrementCounter("trefoil_malformed_requests_total", "");
     if (error == HttpParseError::HeaderTooLarge)
-        co_await refuseUnread(context, 431, "the header is too large");
+        co_await refuseUnread(context, ErrorStatus(431), "the header is too large");
     else if (error == HttpParseError::BodyTooLarge)
-        co_await refuseUnread(context, 413, "the body is too large");
+        co_await refuseUnread(context, ErrorStatus(413), "the body is too large");
     else
-        co_await refuseUnread(context, 400, "the request is not valid HTTP");
+        co_await refuseUnread(context, ErrorStatus(400), "the request is not valid HTTP");
 }
 
-asio::awaitable<void> refuseEvicted(RelayContext &context)
+asio::awaitable<void> refuseEvicted(RelayContext &context, const RelayRequest &request)
 {
     std::vector<HttpField> fields;
     fields.push_back({"Retry-After", secondsText(DefaultRetryAfter)});
-    co_await sendErrorResponse(context, 503, "the memory for requests is used up",
-                               std::move(fields), false);
+    co_await sendErrorResponse(
+            context, promiseIfProven(NotRunStatus::ServiceUnavailable, request.sends, 502),
+            "the memory for requests is used up", std::move(fields), false);
 }
 
 asio::awaitable<bool> refuseRequest(RelayContext &context, const RelayRequest &request,
-                                    std::uint32_t status, std::string_view text,
+                                    ErrorStatus status, std::string_view text,
                                     std::optional<Duration> retryAfter)
 {
     std::vector<HttpField> fields;
@@ -62,20 +62,20 @@
         fields.push_back({context.state.dialect.headers.requestId, request.id});
     if (retryAfter)
         fields.push_back({"Retry-After", secondsText(*retryAfter)});
-    logRequestEnd(context, request, RelayProgress{}, status, text);
+    logRequestEnd(context, request, RelayProgress{}, status.value(), text);
     co_return co_await sendErrorResponse(context, status, text, std::move(fields),
                                          keepsConnectionOpen(context, request));
 }
 
 asio::awaitable<bool> refuseAfterAttempts(RelayContext &context, const RelayRequest &request,
-                                          const RelayProgress &progress, std::uint32_t status,
+                                          const RelayProgress &progress, ErrorStatus status,
                                           std::optional<Duration> retryAfter)
 {
     std::vector<HttpField> fields;
     fields.push_back({context.state.dialect.headers.requestId, request.id});
     if (retryAfter)
         fields.push_back({"Retry-After", secondsText(*retryAfter)});
-    logRequestEnd(context, request, progress, status, progress.lastReason);
+    logRequestEnd(context, request, progress, status.value(), progress.lastReason);
     co_return co_await sendErrorResponse(context, status, progress.lastReason, std::move(fields),
                                          keepsConnectionOpen(context, request));
 }
--- a/src/libgateway/relayrequest.h
+++ b/src/libgateway/relayrequest.h
@@ -61,6 +61,9 @@
 
     // Memory of the head and the body.
     std::size_t memoryBytes = 0;
+
+    // What is known of whether it runs at endpoints.
+    SendLog sends;
 };
 
 // Result of one attempt to have an endpoint serve the request.
@@ -68,10 +71,10 @@
     // The whole response was forwarded.
     Answered,
 
-    // The endpoint executed the request and returned an error.
+    // The endpoint returned an error and does not say that it did not execute the request.
     Failed,
 
-    // No connection could be opened, or the endpoint confirmed that it did not execute the request.
+    // No connection could be opened, or the endpoint proved that it did not execute the request.
     NotExecuted,
 
     // The endpoint may have executed the request.
@@ -107,8 +110,8 @@
     TimePoint sentAt{};
     bool isWritten = false;
 
-    // What `mayHaveExecuted` of the request was before the attempt.
-    bool mayHaveExecutedBefore = false;
+    // The endpoint's word that it did not execute the request, if it gave it.
+    std::optional<EndpointRefusal> refusal;
 };
 
 using EndpointAttemptPointer = std::unique_ptr<EndpointAttempt>;
@@ -148,12 +151,12 @@
     TimePoint lastForwardedAt{};
     Duration longestEventGap{};
 
-    // Error response of an endpoint, forwarded if no other attempt succeeds.
+    // Error response of an endpoint, forwarded if no other attempt succeeds. Its status is none by
+    // which a caller would learn that the request has not run.
     std::optional<HttpHead> failureHead;
     std::string failureBody;
 
     AttemptOutcome lastOutcome = AttemptOutcome::NotExecuted;
-    bool mayHaveExecuted = false;
     std::string lastEndpoint;
     std::string lastReason;
     Duration retryAfter = DefaultRetryAfter;
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -154,10 +154,12 @@
         co_await refuseMalformed(context, error);
         break;
     case ReadResult::Late:
-        co_await refuseUnread(context, 408, "the request did not arrive in time");
+        co_await refuseUnread(context,
+                              promiseIfProven(NotRunStatus::RequestTimeout, request.sends, 400),
+                              "the request did not arrive in time");
         break;
     case ReadResult::Evicted:
-        co_await refuseEvicted(context);
+        co_await refuseEvicted(context, request);
         break;
     }
     co_return false;
@@ -209,14 +211,7 @@
 // with which the request is refused; `reason` then says why.
 std::uint32_t resolveRequest(RelayContext &context, RelayRequest &request, std::string_view &reason)
 {
-    const HeaderNames &headerNames = context.state.dialect.headers;
-    if (const std::string *id = findField(request.head, headerNames.requestId))
-        request.id = *id;
     request.config = context.state.config;
-    if (!request.config) {
-        reason = "no configuration is known yet";
-        return 503;
-    }
     const std::string *host = findField(request.head, "host");
     if (!host || !request.head.target.starts_with('/')) {
         reason = "the host or the path is missing";
@@ -247,8 +242,9 @@
     }
     if (context.channel->isEvicted() && !progress.isResponseHeadSent) {
         progress.lastReason = "the memory for requests is used up";
-        co_return co_await refuseAfterAttempts(context, request, progress,
-                                               progress.mayHaveExecuted ? 502 : 503, {});
+        co_return co_await refuseAfterAttempts(
+                context, request, progress,
+                promiseIfProven(NotRunStatus::ServiceUnavailable, request.sends, 502), {});
     }
     if (progress.lastOutcome == AttemptOutcome::CallerDisconnected || context.channel->isEnded()) {
         logRequestEnd(context, request, progress, 0, "caller gone");
@@ -260,39 +256,47 @@
         logRequestEnd(context, request, progress, 0, "stream cut: " + progress.lastReason);
         co_return false;
     }
+    const auto proof = request.sends.proveNotRun();
     if (progress.failureHead) {
         logRequestEnd(context, request, progress, progress.failureHead->status,
                       "failed by the endpoint");
         co_return co_await forwardResponse(context, request, *progress.failureHead,
                                            progress.failureBody);
     }
-    if (!progress.mayHaveExecuted) {
+    if (proof) {
         const Duration remaining = request.deadline - RuntimeClock::now();
         const Duration maxWait = progress.isQuarantined ? progress.retryAfter : remaining / 3;
         const Duration wait = std::clamp(progress.retryAfter, Duration::zero(),
                                          std::max(maxWait, Duration::zero()));
-        co_return co_await refuseAfterAttempts(context, request, progress, 503, wait);
+        co_return co_await refuseAfterAttempts(
+                context, request, progress, ErrorStatus(NotRunStatus::ServiceUnavailable, *proof),
+                wait);
     }
     const std::uint32_t status = progress.lastOutcome == AttemptOutcome::TimedOut ? 504 : 502;
-    co_return co_await refuseAfterAttempts(context, request, progress, status, std::nullopt);
+    co_return co_await refuseAfterAttempts(context, request, progress, ErrorStatus(status),
+                                           std::nullopt);
 }
 
 asio::awaitable<bool> serveRequest(RelayContext &context, RelayRequest &request)
 {
+    if (const std::string *id = findField(request.head, context.state.dialect.headers.requestId))
+        request.id = *id;
+    const ErrorStatus unavailable =
+            promiseIfProven(NotRunStatus::ServiceUnavailable, request.sends, 502);
+    if (!context.state.config)
+        co_return co_await refuseRequest(context, request, unavailable,
+                                         "no configuration is known yet", DefaultRetryAfter);
     std::string_view reason;
     const std::uint32_t refusalStatus = resolveRequest(context, request, reason);
-    if (refusalStatus == 503)
-        co_return co_await refuseRequest(context, request, refusalStatus, reason,
-                                         DefaultRetryAfter);
     if (refusalStatus != 0)
-        co_return co_await refuseRequest(context, request, refusalStatus, reason);
+        co_return co_await refuseRequest(context, request, ErrorStatus(refusalStatus), reason);
     recordRequest(retryBudget(context.state, request.service), entryCount(context.state.roster),
                   RuntimeClock::now());
     if (!takesRequests(context.state))
-        co_return co_await refuseRequest(context, request, 503, "the entry stops",
+        co_return co_await refuseRequest(context, request, unavailable, "the entry stops",
                                          Duration(DefaultRetryAfter));
     if (!context.channel->tryRun())
-        co_return co_await refuseRequest(context, request, 503,
+        co_return co_await refuseRequest(context, request, unavailable,
                                          "the memory for requests is used up",
                                          Duration(DefaultRetryAfter));
     RelayProgress progress;
--- a/src/libgateway/responserelay.cpp
+++ b/src/libgateway/responserelay.cpp
@@ -178,13 +178,15 @@
 // events have been forwarded already.
 asio::awaitable<AttemptOutcome> processResponse(RelayContext &context, RelayRequest &request,
                                                 RelayProgress &progress, HttpParser &parser,
-                                                EndpointConnection &connection)
+                                                EndpointAttempt &attempt)
 {
+    EndpointConnection &connection = attempt.connection;
     const HttpHead &head = parser.head();
     const bool mayReuse = parser.keepsAlive() && connection.channel->input().empty()
                           && !connection.channel->isEnded();
     connection.idleDeadline = mayReuse ? RuntimeClock::now() + keepAliveTime(head) : TimePoint{};
-    if (findField(head, context.state.dialect.headers.notExecuted) || head.status == 421) {
+    attempt.refusal = readEndpointRefusal(context, request, connection, head);
+    if (attempt.refusal) {
         progress.lastReason = "refused by the endpoint with " + std::to_string(head.status);
         recordAttempt(context.state.placement, connection.endpoint, EndpointResult::Refused, {},
                       RuntimeClock::now());
@@ -205,8 +207,12 @@
                                               + progress.failureBody.capacity());
     if (!isSuccess) {
         progress.lastReason = "status " + std::to_string(head.status);
-        progress.failureHead = head;
-        progress.failureBody = std::move(body);
+        if (isNotRunStatus(head.status)) {
+            progress.lastReason += " without proof that the request has not run";
+        } else {
+            progress.failureHead = head;
+            progress.failureBody = std::move(body);
+        }
         co_return AttemptOutcome::Failed;
     }
     if (!isHeld)
@@ -252,6 +258,20 @@
     return id && *id != request.id;
 }
 
+std::optional<EndpointRefusal> readEndpointRefusal(const RelayContext &context,
+                                                   const RelayRequest &request,
+                                                   const EndpointConnection &connection,
+                                                   const HttpHead &response)
+{
+    const HeaderNames &headers = context.state.dialect.headers;
+    const std::string *id = findField(response, headers.requestId);
+    AnswerFacts answer;
+    answer.status = response.status;
+    answer.saysNotExecuted = findField(response, headers.notExecuted) != nullptr;
+    answer.isToThisRequest = id ? *id == request.id : !connection.isReused;
+    return readRefusal(answer);
+}
+
 bool isEventStream(const RelayContext &context, const RelayRequest &request, const HttpHead &head)
 {
     return request.route->kind == RouteKind::Stream && isVerifiedSuccess(context, head);
@@ -311,7 +331,7 @@
             co_return AttemptOutcome::Unknown;
         }
         if (isParsed && parser.isDone())
-            co_return co_await processResponse(context, request, progress, parser, connection);
+            co_return co_await processResponse(context, request, progress, parser, attempt);
         const bool isOversized = endpoint.input().size() >= ResponseInputCapacity
                                  || progress.eventFilter.incompleteEvent.size() > MaxEventBytes;
         if (isOversized) {
--- a/src/libgateway/responserelay.h
+++ b/src/libgateway/responserelay.h
@@ -22,10 +22,18 @@
 bool isUnrelatedResponse(const RelayContext &context, const RelayRequest &request,
                          const HttpHead &head);
 
+// Returns the endpoint's word that it did not execute the request, or nothing when this response
+// does not prove it.
+std::optional<EndpointRefusal> readEndpointRefusal(const RelayContext &context,
+                                                   const RelayRequest &request,
+                                                   const EndpointConnection &connection,
+                                                   const HttpHead &response);
+
 // True for the response that the endpoint itself produced to a stream request.
 bool isEventStream(const RelayContext &context, const RelayRequest &request, const HttpHead &head);
 
-// Forwards a response with its complete body. Returns whether the connection stays open.
+// Forwards a response with its complete body. Returns whether the connection stays open. A response
+// whose status promises that the request has not run must not be forwarded, see NotRunStatus.
 boost::asio::awaitable<bool> forwardResponse(RelayContext &context, const RelayRequest &request,
                                              const HttpHead &response, const std::string &body);
 
--- a/tests/soak/standinservers.cpp
+++ b/tests/soak/standinservers.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace Trefoil {
 
@@ -25,6 +26,8 @@
 constexpr auto EventInterval = std::chrono::milliseconds(40);
 // Processing time of a request to the plain service.
 constexpr auto PlainServiceTime = std::chrono::milliseconds(15);
+// Fraction of the requests that a plain endpoint runs and answers with a failure.
+constexpr double FailedResponseRatio = 0.03;
 // Time until an engine that a request ended is back.
 constexpr auto EngineRestartTime = std::chrono::seconds(2);
 constexpr auto WriteTimeout = std::chrono::seconds(10);
@@ -243,6 +246,14 @@
                             {{"X-Trefoilrun-Response-Seal", "seal"}});
 }
 
+// Returns a failure of a request that has run, which nothing in it denies.
+std::string makeFailedResponse(SoakState &soak, const HttpHead &request)
+{
+    constexpr std::uint32_t statuses[] = {500, 408, 429, 503};
+    const std::uint32_t status = statuses[randomBelow(soak, std::size(statuses))];
+    return makeResponseText(status, request, "", {{"X-Trefoilrun-Response-Seal", "seal"}});
+}
+
 asio::awaitable<bool> writePlainResponse(Session &session, const HttpHead &head,
                                          const std::string &body)
 {
@@ -250,6 +261,8 @@
     const bool isLost = randomFraction(session.soak) < session.endpoint.lostResponseRatio;
     if (!session.isAlive() || isLost)
         co_return false;
+    if (randomFraction(session.soak) < FailedResponseRatio)
+        co_return co_await session.respond(head, makeFailedResponse(session.soak, head));
     co_return co_await session.respond(head, makePlainResponse(head, body));
 }
 
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -562,6 +562,123 @@
     BOOST_CHECK(fixture.second.receivedHeads.empty());
 }
 
+namespace {
+
+// Returns an answer without success to the request.
+std::string makeFailure(std::uint32_t status, const std::string &fields)
+{
+    return "HTTP/1.1 " + std::to_string(status)
+           + " Failed\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s9\r\n"
+           + fields + "Content-Length: 4\r\n\r\noops";
+}
+
+// Returns the status that the caller got.
+std::uint32_t callerStatus(const RelayFixture &fixture)
+{
+    const std::size_t head = fixture.callerInput.find("HTTP/1.1 ");
+    return head == std::string::npos ? 0
+                                     : static_cast<std::uint32_t>(
+                                             std::stoul(fixture.callerInput.substr(head + 9, 3)));
+}
+
+} // namespace
+
+// The statuses 408, 421, 429 and 503 promise that the request has not run. An endpoint that answers
+// with one of them and does not say so may have run it.
+BOOST_AUTO_TEST_CASE(status_of_an_endpoint_promises_what_it_did_not_say)
+{
+    for (const RouteKind kind :
+         {RouteKind::NonIdempotent, RouteKind::Idempotent, RouteKind::Stream}) {
+        for (const std::uint32_t status : {400, 404, 408, 413, 421, 425, 429, 500, 502, 503, 504}) {
+            for (const std::string &proof : {std::string(), NotExecutedField}) {
+                RelayFixture fixture;
+                fixture.publish(kind, 1);
+                fixture.first.responses = {makeFailure(status, proof)};
+                fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+                const bool isProven = !proof.empty() || status == 421;
+                const std::uint32_t expected = isProven                 ? 503
+                                               : isNotRunStatus(status) ? 502
+                                                                        : status;
+                BOOST_TEST_CONTEXT("status " << status << ", kind " << static_cast<int>(kind)
+                                             << ", proof '" << proof << "'")
+                {
+                    BOOST_CHECK_EQUAL(callerStatus(fixture), expected);
+                    // An answer of the endpoint is its own and nobody else's.
+                    BOOST_CHECK_EQUAL(contains(fixture.callerInput, "Response-Seal"),
+                                      expected == status && !isProven);
+                }
+            }
+        }
+    }
+}
+
+// A success that denies the execution is no refusal, and must not be sent to another endpoint.
+BOOST_AUTO_TEST_CASE(success_that_denies_the_execution_runs_twice)
+{
+    for (const RouteKind kind : {RouteKind::NonIdempotent, RouteKind::Stream}) {
+        RelayFixture fixture;
+        fixture.publish(kind, 2);
+        fixture.first.responses = {
+                withField(makeSuccess("id: 1\ndata: a\n\n"), "X-Trefoilrun-Not-Executed: 1")};
+        fixture.second.responses = {makeSuccess("id: 1\ndata: a\n\n")};
+        fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+        BOOST_CHECK_EQUAL(callerStatus(fixture), 200);
+        BOOST_CHECK(fixture.second.receivedHeads.empty());
+    }
+}
+
+// One endpoint may have run the request. That another one has not proves nothing, in either order.
+BOOST_AUTO_TEST_CASE(refusal_hides_an_attempt_that_may_have_run)
+{
+    for (const std::string &first : {std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+                                     makeFailure(503, ""), makeFailure(500, "")}) {
+        for (const RouteKind kind : {RouteKind::Idempotent, RouteKind::Stream}) {
+            RelayFixture fixture;
+            fixture.publish(kind, 2);
+            fixture.first.responses = {first};
+            fixture.first.closesAfterResponse = true;
+            fixture.second.responses = {makeRefusal(NotExecutedField)};
+            fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+            BOOST_CHECK_EQUAL(callerStatus(fixture), contains(first, "500") ? 500 : 502);
+            BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+        }
+    }
+}
+
+// Each endpoint that got the request refused it.
+BOOST_AUTO_TEST_CASE(request_that_all_endpoints_refused_is_answered_as_uncertain)
+{
+    RelayFixture fixture;
+    fixture.publish(RouteKind::NonIdempotent, 2);
+    fixture.first.responses = {makeRefusal(NotExecutedField)};
+    fixture.second.responses = {makeRefusal(NotExecutedField)};
+    fixture.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK_EQUAL(callerStatus(fixture), 503);
+    BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+}
+
+// A kept connection delivers the refusal of an earlier request, which names none, before the answer
+// to the current one.
+BOOST_AUTO_TEST_CASE(refusal_that_names_no_request_counts_on_a_kept_connection)
+{
+    std::string refusal = makeRefusal(NotExecutedField);
+    refusal.erase(refusal.find("X-Trefoilrun-Attempt-Id"),
+                  std::string("X-Trefoilrun-Attempt-Id: id1\r\n").size());
+    RelayFixture kept;
+    kept.publish(RouteKind::NonIdempotent, 1);
+    kept.first.responses = {makeSuccess("a"), refusal + makeSuccess("ran")};
+    kept.exchange(makeRequest(KeyField, ""), "\r\n\r\na");
+    kept.exchangeAgain(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK_EQUAL(kept.first.receivedHeads.size(), 2);
+    BOOST_CHECK_EQUAL(callerStatus(kept), 502);
+    // On a new connection it can only be the answer to this request.
+    RelayFixture fresh;
+    fresh.publish(RouteKind::NonIdempotent, 1);
+    fresh.first.responses = {refusal};
+    fresh.exchange(makeRequest(KeyField, ""), "\r\n\r\n");
+    BOOST_CHECK_EQUAL(callerStatus(fresh), 503);
+}
+
 // Statuses below 100 do not exist, so such an answer is neither an interim one nor an answer.
 const std::string InvalidStatusAnswer =
         "HTTP/1.1 000 None\r\nX-Trefoilrun-Attempt-Id: id1\r\nX-Trefoilrun-Response-Seal: s1\r\n"
