--- a/src/libfleet/partquarantine.cpp
+++ b/src/libfleet/partquarantine.cpp
@@ -18,38 +18,102 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, maxMs));
 }
 
+// Size of a filter, and the number of parts at which it is replaced.
+constexpr std::size_t FilterWords = 4096;
+constexpr std::size_t MaxFilteredParts = 24'000;
+constexpr std::size_t FilterProbes = 4;
+
+constexpr std::size_t PartBytes = sizeof(PromptPartId);
+
 bool containsAll(std::span<const PromptPartId> parts, const PartSet &set)
 {
-    return std::includes(parts.begin(), parts.end(), set.begin(), set.end());
+    if (set.size() > parts.size())
+        return false;
+    std::span<const PromptPartId> rest = parts;
+    return std::all_of(set.begin(), set.end(), [&rest](PromptPartId part) {
+        const auto found = std::lower_bound(rest.begin(), rest.end(), part);
+        rest = rest.subspan(static_cast<std::size_t>(found - rest.begin()));
+        return !rest.empty() && rest.front() == part;
+    });
 }
 
+// Calls the function with the word and the bit of each probe until it returns false. Returns
+// whether all returned true.
+template <class Function>
+bool probeFilter(PromptPartId part, Function function)
+{
+    constexpr std::size_t wordBits = 64;
+    const std::uint64_t hash = XXH64(&part, sizeof part, 0);
+    for (std::size_t i = 0; i < FilterProbes; ++i) {
+        const std::size_t bit = (hash >> (16 * i) & 0xffff) * 4 + i;
+        if (!function(bit / wordBits % FilterWords, std::uint64_t(1) << (bit % wordBits)))
+            return false;
+    }
+    return true;
+}
+
+bool containsPart(const PartFilter &filter, PromptPartId part)
+{
+    return !filter.words.empty()
+           && probeFilter(part, [&filter](std::size_t word, std::uint64_t bit) {
+                  return (filter.words[word] & bit) != 0;
+              });
+}
+
+// Adds a part that was answered once. Forgets the older filter when the other one is full.
+void addPart(AnsweredParts &answered, PromptPartId part, TimePoint at)
+{
+    if (answered.recentOnce.count >= MaxFilteredParts)
+        answered.olderOnce = std::exchange(answered.recentOnce, {});
+    PartFilter &filter = answered.recentOnce;
+    if (filter.words.empty()) {
+        filter.words.resize(FilterWords);
+        filter.startedAt = at;
+    }
+    ++filter.count;
+    filter.startedAt = std::min(filter.startedAt, at);
+    probeFilter(part, [&filter](std::size_t word, std::uint64_t bit) {
+        filter.words[word] |= bit;
+        return true;
+    });
+}
+
+// Returns the time of the latest answer, or an earlier one if only a filter knows the part.
 std::optional<TimePoint> findAnswer(const AnsweredParts &answered, PromptPartId part)
 {
-    for (const auto *generation : {&answered.recent, &answered.older}) {
-        const auto found = generation->find(part);
-        if (found != generation->end())
+    for (const auto *times : {&answered.recent, &answered.older, &answered.once}) {
+        const auto found = times->find(part);
+        if (found != times->end())
             return found->second;
     }
+    for (const PartFilter *filter : {&answered.recentOnce, &answered.olderOnce}) {
+        if (containsPart(*filter, part))
+            return filter->startedAt;
+    }
     return std::nullopt;
 }
 
 void rememberAnswer(PartQuarantine &quarantine, PromptPartId part, TimePoint at)
 {
     AnsweredParts &answered = quarantine.answered;
+    const std::size_t maxParts = quarantine.options.maxAnsweredParts;
+    if (!findAnswer(answered, part)) {
+        answered.once[part] = at;
+        if (answered.once.size() < maxParts)
+            return;
+        for (const auto &[oncePart, answeredAt] : std::exchange(answered.once, {}))
+            addPart(answered, oncePart, answeredAt);
+        return;
+    }
+    answered.once.erase(part);
     answered.recent[part] = at;
-    if (answered.recent.size() >= quarantine.options.maxAnsweredParts)
+    if (answered.recent.size() >= maxParts)
         answered.older = std::exchange(answered.recent, {});
 }
 
 bool isSuspect(const PartQuarantine &quarantine, PromptPartId part)
 {
-    return std::any_of(quarantine.ends.begin(), quarantine.ends.end(), [part](const auto &end) {
-        return std::any_of(end.second.suspects.begin(), end.second.suspects.end(),
-                           [part](const SuspectRequest &request) {
-                               return std::binary_search(request.parts.begin(), request.parts.end(),
-                                                         part);
-                           });
-    });
+    return quarantine.suspectParts.contains(part);
 }
 
 // Returns whether an engine ended with the part since its latest known answer.
@@ -58,44 +122,74 @@
     const auto answer = quarantine.suspectAnswers.find(part);
     const TimePoint answeredAt =
             answer == quarantine.suspectAnswers.end() ? TimePoint::min() : answer->second;
-    return std::any_of(quarantine.ends.begin(), quarantine.ends.end(), [&](const auto &end) {
-        return end.second.at > answeredAt
-               && std::any_of(end.second.suspects.begin(), end.second.suspects.end(),
-                              [part](const SuspectRequest &request) {
-                                  return std::binary_search(request.parts.begin(),
-                                                            request.parts.end(), part);
-                              });
-    });
+    const auto suspect = quarantine.suspectParts.find(part);
+    return suspect != quarantine.suspectParts.end() && suspect->second.lastEndAt > answeredAt;
+}
+
+void removeEnd(PartQuarantine &quarantine, IncarnationKey engine)
+{
+    const auto end = quarantine.ends.find(engine);
+    quarantine.endBytes -= end->second.bytes;
+    for (const auto &[request, parts] : end->second.suspects) {
+        for (const PromptPartId part : parts) {
+            const auto suspect = quarantine.suspectParts.find(part);
+            if (--suspect->second.count == 0)
+                quarantine.suspectParts.erase(suspect);
+        }
+    }
+    quarantine.ends.erase(end);
+}
+
+IncarnationKey oldestEnd(const PartQuarantine &quarantine)
+{
+    return std::min_element(quarantine.ends.begin(), quarantine.ends.end(),
+                            [](const auto &a, const auto &b) { return a.second.at < b.second.at; })
+            ->first;
 }
 
-void removeOldestEnd(PartQuarantine &quarantine)
+// Forgets the oldest ends that are beyond the bounds.
+void limitEnds(PartQuarantine &quarantine)
 {
-    const auto oldest = std::min_element(
-            quarantine.ends.begin(), quarantine.ends.end(),
-            [](const auto &a, const auto &b) { return a.second.at < b.second.at; });
-    quarantine.ends.erase(oldest);
+    const PartQuarantineOptions &options = quarantine.options;
+    while (quarantine.ends.size() > options.maxEnds
+           || (quarantine.endBytes > options.maxEvidenceBytes
+               && quarantine.ends.size() > options.minKeptEnds))
+        removeEnd(quarantine, oldestEnd(quarantine));
 }
 
-// Adds a suspect. Returns whether it was new.
+// Adds a suspect, or parts of a known one. Returns whether it told something new.
 bool addSuspect(PartQuarantine &quarantine, IncarnationKey engine, const SuspectRequest &request,
                 TimePoint at)
 {
     if (request.parts.empty())
         return false;
-    auto found = quarantine.ends.find(engine);
-    if (found == quarantine.ends.end()) {
-        found = quarantine.ends.emplace(engine, EngineEnd{at, {}}).first;
-        if (quarantine.ends.size() > quarantine.options.maxEnds)
-            removeOldestEnd(quarantine);
-        found = quarantine.ends.find(engine);
-        if (found == quarantine.ends.end())
-            return false;
-    }
-    EngineEnd &end = found->second;
+    const PartQuarantineOptions &options = quarantine.options;
+    EngineEnd &end = quarantine.ends.try_emplace(engine, EngineEnd{at, {}, 0}).first->second;
     end.at = std::min(end.at, at);
-    if (end.suspects.size() >= quarantine.options.maxSuspectsPerEnd)
+    const bool isKnown = end.suspects.contains(request.request);
+    if (!isKnown && end.suspects.size() >= options.maxSuspectsPerEnd)
+        return false;
+    PartSet &known = end.suspects[request.request];
+    PartSet added;
+    std::set_difference(request.parts.begin(), request.parts.end(), known.begin(), known.end(),
+                        std::back_inserter(added));
+    const std::size_t addedBytes = added.size() * PartBytes;
+    if (added.empty() || end.bytes + addedBytes > options.maxEvidenceBytes / options.minKeptEnds) {
+        if (known.empty())
+            end.suspects.erase(request.request);
         return false;
-    return end.suspects.insert(request).second;
+    }
+    end.bytes += addedBytes;
+    quarantine.endBytes += addedBytes;
+    for (const PromptPartId part : added) {
+        SuspectPart &suspect = quarantine.suspectParts[part];
+        ++suspect.count;
+        suspect.lastEndAt = std::max(suspect.lastEndAt, end.at);
+    }
+    const auto middle = known.insert(known.end(), added.begin(), added.end());
+    std::inplace_merge(known.begin(), middle, known.end());
+    limitEnds(quarantine);
+    return quarantine.ends.contains(engine);
 }
 
 Duration trialDelay(const PartQuarantineOptions &options, std::uint32_t trials)
@@ -139,20 +233,21 @@
     return evidence;
 }
 
-// Ends that count against one part.
+// Ends that count against some parts. Parts that stand in the same requests are one group, since
+// nothing tells them apart.
 struct PartStatistics
 {
-    PromptPartId part = 0;
-    std::set<IncarnationKey> ends;
-    std::set<std::uint64_t> requests;
-    std::set<std::pair<IncarnationKey, SuspectRequest>> suspects;
+    PartSet parts;
+    std::vector<std::uint32_t> suspects; // sorted numbers of the requests at ended engines
+    std::vector<IncarnationKey> ends;    // sorted
+    std::size_t requestCount = 0;
     std::uint32_t endCount = 0; // concurrent ends count once
     TimePoint lastEndAt = TimePoint::min();
     bool hasKnownAnswer = false;
 };
 
 std::uint32_t countSeparateEnds(const PartQuarantine &quarantine,
-                                const std::set<IncarnationKey> &engines)
+                                std::span<const IncarnationKey> engines)
 {
     std::vector<TimePoint> times;
     for (const IncarnationKey engine : engines)
@@ -178,41 +273,90 @@
                            if (!isInForce(verdict) && end.at > *verdict.releasedAt)
                                return false;
                            return std::any_of(end.suspects.begin(), end.suspects.end(),
-                                              [&item](const SuspectRequest &request) {
-                                                  return containsAll(request.parts, item.first);
+                                              [&item](const auto &suspect) {
+                                                  return containsAll(suspect.second, item.first);
                                               });
                        });
 }
 
-// Returns the parts of all parts whose engines ended since their last answer. Leaves out the ends
-// that verdicts explain.
-std::vector<PartStatistics> collectStatistics(const PartQuarantine &quarantine)
+// A request at an ended engine.
+struct NumberedSuspect
+{
+    IncarnationKey engine = 0;
+    std::uint64_t request = 0;
+    TimePoint endedAt{};
+    const PartSet *parts = nullptr;
+};
+
+// Returns the suspects of the ends that no verdict explains.
+std::vector<NumberedSuspect> unexplainedSuspects(const PartQuarantine &quarantine)
 {
-    std::map<PromptPartId, PartStatistics> parts;
+    std::vector<NumberedSuspect> suspects;
     for (const auto &[engine, end] : quarantine.ends) {
         if (isExplained(quarantine, end))
             continue;
-        for (const SuspectRequest &request : end.suspects) {
-            for (const PromptPartId part : request.parts) {
-                const auto answer = quarantine.suspectAnswers.find(part);
-                if (answer != quarantine.suspectAnswers.end() && answer->second >= end.at)
-                    continue;
-                PartStatistics &statistics = parts[part];
-                statistics.part = part;
-                statistics.ends.insert(engine);
-                statistics.lastEndAt = std::max(statistics.lastEndAt, end.at);
-                statistics.requests.insert(request.request);
-                statistics.suspects.emplace(engine, request);
-                statistics.hasKnownAnswer = answer != quarantine.suspectAnswers.end()
-                                            || findAnswer(quarantine.answered, part).has_value();
-            }
+        for (const auto &[request, parts] : end.suspects)
+            suspects.push_back({engine, request, end.at, &parts});
+    }
+    return suspects;
+}
+
+PartStatistics makeStatistics(const PartQuarantine &quarantine,
+                              std::span<const NumberedSuspect> suspects,
+                              std::span<const std::uint32_t> numbers)
+{
+    PartStatistics statistics;
+    statistics.suspects.assign(numbers.begin(), numbers.end());
+    std::set<std::uint64_t> requests;
+    for (const std::uint32_t number : numbers) {
+        const NumberedSuspect &suspect = suspects[number];
+        if (statistics.ends.empty() || statistics.ends.back() != suspect.engine)
+            statistics.ends.push_back(suspect.engine);
+        requests.insert(suspect.request);
+        statistics.lastEndAt = std::max(statistics.lastEndAt, suspect.endedAt);
+    }
+    statistics.requestCount = requests.size();
+    statistics.endCount = countSeparateEnds(quarantine, statistics.ends);
+    return statistics;
+}
+
+// Returns the groups of parts whose engines ended since their last answer. Leaves out the ends
+// that verdicts explain, and parts with too few ends to matter for any verdict.
+std::vector<PartStatistics> collectStatistics(const PartQuarantine &quarantine)
+{
+    const PartQuarantineOptions &options = quarantine.options;
+    const std::size_t minEnds = std::max<std::uint32_t>(
+            std::min(options.endsWithoutAnswer, options.endsAfterAnswer - 1), 1);
+    const std::vector<NumberedSuspect> suspects = unexplainedSuspects(quarantine);
+    std::unordered_map<PromptPartId, std::vector<std::uint32_t>> numbersByPart;
+    for (std::uint32_t number = 0; number < suspects.size(); ++number) {
+        for (const PromptPartId part : *suspects[number].parts) {
+            const auto answer = quarantine.suspectAnswers.find(part);
+            const bool isAnswered = answer != quarantine.suspectAnswers.end()
+                                    && answer->second >= suspects[number].endedAt;
+            const bool isRare = quarantine.suspectParts.at(part).count < minEnds;
+            if (!isAnswered && !isRare)
+                numbersByPart[part].push_back(number);
         }
     }
+    std::map<std::pair<std::vector<std::uint32_t>, bool>, PartSet> groups;
+    for (auto &[part, numbers] : numbersByPart) {
+        const bool hasKnownAnswer = quarantine.suspectAnswers.contains(part)
+                                    || findAnswer(quarantine.answered, part).has_value();
+        groups[{std::move(numbers), hasKnownAnswer}].push_back(part);
+    }
     std::vector<PartStatistics> result;
-    for (auto &[part, statistics] : parts) {
-        statistics.endCount = countSeparateEnds(quarantine, statistics.ends);
+    for (auto &[key, parts] : groups) {
+        PartStatistics statistics = makeStatistics(quarantine, suspects, key.first);
+        if (statistics.ends.size() < minEnds)
+            continue;
+        statistics.hasKnownAnswer = key.second;
+        std::sort(parts.begin(), parts.end());
+        statistics.parts = std::move(parts);
         result.push_back(std::move(statistics));
     }
+    std::sort(result.begin(), result.end(),
+              [](const auto &a, const auto &b) { return a.parts.front() < b.parts.front(); });
     return result;
 }
 
@@ -224,7 +368,7 @@
     if (!statistics.hasKnownAnswer)
         return statistics.endCount >= options.endsWithoutAnswer;
     return statistics.endCount >= options.endsAfterAnswer
-           && statistics.requests.size() >= options.requestsAfterAnswer;
+           && statistics.requestCount >= options.requestsAfterAnswer;
 }
 
 // Returns whether `other` may have ended the engines instead of the candidate. A part that
@@ -242,8 +386,8 @@
     // Of a part that has been answered and one that never was, the latter is more likely the cause.
     if (candidate.hasKnownAnswer && !other.hasKnownAnswer)
         return common.size() + 1 >= candidate.ends.size();
-    const bool isLikely = hasEnoughEvidence(other, options, now)
-                          || other.requests.size() > candidate.requests.size();
+    const bool isLikely =
+            hasEnoughEvidence(other, options, now) || other.requestCount > candidate.requestCount;
     return isLikely && common.size() == candidate.ends.size();
 }
 
@@ -276,21 +420,28 @@
     PartSet inseparable;
     for (const PartStatistics &other : parts) {
         if (other.suspects == candidate.suspects)
-            inseparable.push_back(other.part);
+            inseparable.insert(inseparable.end(), other.parts.begin(), other.parts.end());
     }
+    std::sort(inseparable.begin(), inseparable.end());
     return inseparable;
 }
 
 // Removes released verdicts first, and the oldest of them.
 void limitVerdicts(PartQuarantine &quarantine)
 {
-    while (quarantine.verdicts.size() > quarantine.options.maxVerdicts) {
+    const PartQuarantineOptions &options = quarantine.options;
+    std::size_t bytes = 0;
+    for (const auto &[set, verdict] : quarantine.verdicts)
+        bytes += set.size() * PartBytes;
+    while (quarantine.verdicts.size() > options.maxVerdicts
+           || (bytes > options.maxEvidenceBytes && quarantine.verdicts.size() > 1)) {
         const auto oldest =
                 std::min_element(quarantine.verdicts.begin(), quarantine.verdicts.end(),
                                  [](const auto &a, const auto &b) {
                                      return std::pair(isInForce(a.second), a.second.lastEndAt)
                                             < std::pair(isInForce(b.second), b.second.lastEndAt);
                                  });
+        bytes -= oldest->first.size() * PartBytes;
         quarantine.verdicts.erase(oldest);
     }
 }
@@ -369,8 +520,10 @@
 {
     std::vector<EvidenceKey> keys;
     for (const PartEvidence::End &end : evidence.ends) {
-        for (const SuspectRequest &suspect : end.suspects)
-            keys.emplace_back(SuspectKey{end.engine, suspect.request});
+        for (const SuspectRequest &suspect : end.suspects) {
+            for (std::size_t i = 0; i < suspect.parts.size(); i += MaxPartsPerRow)
+                keys.emplace_back(SuspectKey{end.engine, suspect.request, suspect.parts[i]});
+        }
     }
     for (const PartEvidence::Answer &answer : evidence.answers)
         keys.emplace_back(answer.part);
@@ -386,17 +539,24 @@
         const auto end = quarantine.ends.find(suspect->engine);
         if (end == quarantine.ends.end())
             return evidence;
-        const auto &suspects = end->second.suspects;
-        const auto request = suspects.lower_bound({suspect->request, {}});
-        if (request != suspects.end() && request->request == suspect->request)
-            evidence.ends.push_back({suspect->engine, toMs(now - end->second.at), {*request}});
+        const auto request = end->second.suspects.find(suspect->request);
+        if (request == end->second.suspects.end())
+            return evidence;
+        const PartSet &parts = request->second;
+        const auto first = std::lower_bound(parts.begin(), parts.end(), suspect->firstPart);
+        const auto count = std::min<std::ptrdiff_t>(parts.end() - first, MaxPartsPerRow);
+        if (count > 0)
+            evidence.ends.push_back({suspect->engine,
+                                     toMs(now - end->second.at),
+                                     {{suspect->request, PartSet(first, first + count)}}});
     } else if (const auto *part = std::get_if<PromptPartId>(&key)) {
         const auto answer = quarantine.suspectAnswers.find(*part);
         if (answer != quarantine.suspectAnswers.end())
             evidence.answers.push_back({*part, toMs(now - answer->second)});
     } else {
-        const auto verdict = quarantine.verdicts.find(std::get<PartSet>(key));
-        if (verdict != quarantine.verdicts.end())
+        const auto &set = std::get<PartSet>(key);
+        const auto verdict = quarantine.verdicts.find(set);
+        if (verdict != quarantine.verdicts.end() && set.size() <= MaxPartsPerRow)
             evidence.verdicts.push_back(toEvidence(verdict->first, verdict->second, now));
     }
     return evidence;
@@ -536,7 +696,7 @@
         verdict.lastEndAt = candidate->lastEndAt;
         verdict.releasedAt.reset();
         verdict.ends = static_cast<std::uint32_t>(candidate->ends.size());
-        verdict.requests = static_cast<std::uint32_t>(candidate->requests.size());
+        verdict.requests = static_cast<std::uint32_t>(candidate->requestCount);
         verdict.hadAnswer = candidate->hasKnownAnswer;
         verdict.nextTrialAt = verdict.lastEndAt + trialDelay(quarantine.options, verdict.trials);
         evidence.verdicts.push_back(toEvidence(set, verdict, now));
@@ -548,9 +708,12 @@
 PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now)
 {
     PartEvidence evidence;
-    for (const auto &[engine, end] : quarantine.ends)
-        evidence.ends.push_back(
-                {engine, toMs(now - end.at), {end.suspects.begin(), end.suspects.end()}});
+    for (const auto &[engine, end] : quarantine.ends) {
+        PartEvidence::End known{engine, toMs(now - end.at), {}};
+        for (const auto &[request, parts] : end.suspects)
+            known.suspects.push_back({request, parts});
+        evidence.ends.push_back(std::move(known));
+    }
     for (const auto &[part, at] : quarantine.suspectAnswers)
         evidence.answers.push_back({part, toMs(now - at)});
     for (const auto &[parts, verdict] : quarantine.verdicts)
@@ -561,8 +724,12 @@
 void removeExpiredEvidence(PartQuarantine &quarantine, TimePoint now)
 {
     const PartQuarantineOptions &options = quarantine.options;
-    std::erase_if(quarantine.ends,
-                  [&](const auto &item) { return now - item.second.at > options.endRetention; });
+    while (!quarantine.ends.empty()) {
+        const IncarnationKey engine = oldestEnd(quarantine);
+        if (now - quarantine.ends.at(engine).at <= options.endRetention)
+            break;
+        removeEnd(quarantine, engine);
+    }
     std::erase_if(quarantine.suspectAnswers,
                   [&](const auto &item) { return !isSuspect(quarantine, item.first); });
     std::erase_if(quarantine.suspectRepeats, [&](const auto &item) {
--- a/src/libfleet/partquarantine.h
+++ b/src/libfleet/partquarantine.h
@@ -46,7 +46,11 @@
     std::size_t maxEnds = 32;
     std::size_t maxSuspectsPerEnd = 64;
     std::size_t maxVerdicts = 64;
-    std::size_t maxAnsweredParts = 4096; // in each of two generations
+    // Bound of the parts in `ends` and in `verdicts`, each. The oldest end gives way, but the
+    // newest minKeptEnds always stay, with a like share each.
+    std::size_t maxEvidenceBytes = 2 * 1024 * 1024;
+    std::size_t minKeptEnds = 3;
+    std::size_t maxAnsweredParts = 4096; // in each map
 };
 
 // Sorted ids of parts, without repetitions.
@@ -63,7 +67,7 @@
 struct SuspectRequest
 {
     std::uint64_t request = 0;
-    PartSet parts; // shared ones
+    PartSet parts; // shared ones, or some of them
 
     auto operator<=>(const SuspectRequest &) const = default;
 };
@@ -71,7 +75,8 @@
 struct EngineEnd
 {
     TimePoint at{};
-    std::set<SuspectRequest> suspects;
+    std::map<std::uint64_t, PartSet> suspects; // parts by request
+    std::size_t bytes = 0;                     // of the parts
 };
 
 // Requests with all parts of a set are refused. Usually the set has one part; it has several when
@@ -91,17 +96,39 @@
 // Returns false once an answer began after the last end.
 bool isInForce(const PartVerdict &verdict);
 
-// Times of the latest answers by part. The oldest half is forgotten when the limit is reached.
+// A set that holds no ids but bits, and may contain a few parts too many.
+struct PartFilter
+{
+    std::vector<std::uint64_t> words;
+    std::size_t count = 0;
+    TimePoint startedAt{};
+};
+
+// Times of the latest answers by part. Most parts of long prompts are answered once and never come
+// again, so parts that were answered again have maps of their own, whose oldest half is forgotten
+// when the limit is reached. Of the others, a filter remains.
 struct AnsweredParts
 {
     std::unordered_map<PromptPartId, TimePoint> recent;
     std::unordered_map<PromptPartId, TimePoint> older;
+    std::unordered_map<PromptPartId, TimePoint> once;
+    PartFilter recentOnce;
+    PartFilter olderOnce;
+};
+
+// How a part stands in the suspects of all ends.
+struct SuspectPart
+{
+    std::uint32_t count = 0;
+    TimePoint lastEndAt{};
 };
 
 struct PartQuarantine
 {
     PartQuarantineOptions options;
     std::map<IncarnationKey, EngineEnd> ends;
+    std::unordered_map<PromptPartId, SuspectPart> suspectParts; // of `ends`
+    std::size_t endBytes = 0;                                   // of the parts in `ends`
     std::map<PartSet, PartVerdict> verdicts;
     AnsweredParts answered; // by this process
     // Latest answers, by any entry, of parts that `ends` contains.
@@ -146,16 +173,22 @@
     bool isEmpty() const { return ends.empty() && answers.empty() && verdicts.empty(); }
 };
 
-// Names one row of the evidence: a request at an engine that ended, an answered part or a verdict.
+// Names one row of the evidence: some parts of a request at an engine that ended, from the given
+// one on, an answered part or a verdict.
 struct SuspectKey
 {
     IncarnationKey engine = 0;
     std::uint64_t request = 0;
+    PromptPartId firstPart = 0;
 
     auto operator<=>(const SuspectKey &) const = default;
 };
 using EvidenceKey = std::variant<SuspectKey, PromptPartId, PartSet>;
 
+// Parts of a request in one row, and of a verdict that is passed on. Each entry finds the verdicts
+// on larger sets by itself.
+constexpr std::size_t MaxPartsPerRow = 4096;
+
 std::vector<EvidenceKey> evidenceKeys(const PartEvidence &evidence);
 
 // Returns what is known of this row, empty when that is nothing.
--- a/src/libfleet/promptparts.cpp
+++ b/src/libfleet/promptparts.cpp
@@ -9,7 +9,8 @@
 std::vector<PromptPartId> sharedParts(std::span<const PromptPart> parts)
 {
     std::vector<PromptPartId> ids;
-    for (std::size_t i = 0; i + 1 < parts.size() && i < MaxSharedParts; ++i)
+    ids.reserve(parts.size());
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
         ids.push_back(parts[i].id);
     std::sort(ids.begin(), ids.end());
     ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
@@ -31,4 +32,11 @@
     return text;
 }
 
+std::string toShortText(std::span<const PromptPartId> ids)
+{
+    constexpr std::size_t maxIds = 32;
+    const std::string text = toText(ids.first(std::min(ids.size(), maxIds)));
+    return ids.size() <= maxIds ? text : text + ",+" + std::to_string(ids.size() - maxIds);
+}
+
 } // namespace Trefoil
--- a/src/libfleet/promptparts.h
+++ b/src/libfleet/promptparts.h
@@ -20,11 +20,7 @@
     bool operator==(const PromptPart &) const = default;
 };
 
-// Largest number of shared parts of a request that are evaluated.
-constexpr std::size_t MaxSharedParts = 32;
-
-// Returns the sorted ids of the parts that other requests may share: all but the last, and at most
-// the first MaxSharedParts.
+// Returns the sorted ids of the parts that other requests may share: all but the last.
 std::vector<PromptPartId> sharedParts(std::span<const PromptPart> parts);
 
 // Returns the id as callers write it, in hexadecimal.
@@ -33,4 +29,7 @@
 // Returns the ids separated by commas.
 std::string toText(std::span<const PromptPartId> ids);
 
+// Returns the first ids and the number of the others, so that a long prompt does not fill a line.
+std::string toShortText(std::span<const PromptPartId> ids);
+
 } // namespace Trefoil
--- a/src/libgateway/endpointattempt.cpp
+++ b/src/libgateway/endpointattempt.cpp
@@ -49,7 +49,7 @@
         return false;
     progress.isQuarantined = true;
     progress.lastReason =
-            "engines ended with the part " + toText(verdict->parts) + " of the prompt";
+            "engines ended with the part " + toShortText(verdict->parts) + " of the prompt";
     progress.retryAfter = std::max(verdict->verdict.nextTrialAt - now, Duration::zero());
     context.state.metrics.incrementCounter("trefoil_quarantine_refusals_total", "");
     return true;
--- a/src/libgateway/relayattempt.cpp
+++ b/src/libgateway/relayattempt.cpp
@@ -70,7 +70,7 @@
                                     {"end", std::string(toString(progress.lastOutcome))},
                                     {"reason", progress.lastReason},
                                     {"begun", progress.hasBegun ? "yes" : "no"},
-                                    {"parts", toText(request.sharedParts)},
+                                    {"parts", toShortText(request.sharedParts)},
                                     {"elapsed_ms", millisecondsText(now - request.arrivedAt)}});
 }
 
--- a/src/libgateway/relayrefusal.cpp
+++ b/src/libgateway/relayrefusal.cpp
@@ -110,7 +110,7 @@
               {"total_ms", millisecondsText(now - request.arrivedAt)},
               {"predicted_first_ms", millisecondsText(progress.estimate.firstEvent)},
               {"candidates", std::to_string(progress.candidateCount)},
-              {"parts", toText(request.sharedParts)},
+              {"parts", toShortText(request.sharedParts)},
               {"configuration", std::to_string(request.config ? request.config->version : 0)}});
 }
 
--- a/src/libgateway/relaysession.cpp
+++ b/src/libgateway/relaysession.cpp
@@ -178,10 +178,27 @@
     request.deadline = std::min(request.deadline, request.arrivedAt + duration);
 }
 
+// Returns the parts of all header fields with parts. A list may be spread over several.
+std::vector<PromptPart> readPromptParts(const RelayContext &context, const HttpHead &head)
+{
+    const Dialect &dialect = context.state.dialect;
+    std::vector<PromptPart> parts;
+    for (const HttpField &field : head.fields) {
+        if (!equalsIgnoringCase(field.name, dialect.headers.promptParts))
+            continue;
+        const std::vector<PromptPart> more = dialect.decodePromptParts(field.value);
+        parts.insert(parts.end(), more.begin(), more.end());
+    }
+    return parts;
+}
+
 void setParts(RelayRequest &request, const std::vector<PromptPart> &parts)
 {
+    if (parts.empty())
+        return;
     request.sharedParts = sharedParts(parts);
     request.contentKey = requestKey(parts);
+    request.memoryBytes += request.sharedParts.capacity() * sizeof(PromptPartId);
 }
 
 void setServiceAndSize(RelayContext &context, RelayRequest &request)
@@ -203,8 +220,7 @@
             request.size.outputTokens =
                     parseNumber(std::string_view(*tokens).substr(comma + 1)).value_or(0);
     }
-    if (const std::string *parts = findField(request.head, headerNames.promptParts))
-        setParts(request, context.state.dialect.decodePromptParts(*parts));
+    setParts(request, readPromptParts(context, request.head));
 }
 
 // Finds the route, workspace, service and deadlines of the request. Returns 0, or the status
@@ -295,6 +311,7 @@
     if (!takesRequests(context.state))
         co_return co_await refuseRequest(context, request, unavailable, "the entry stops",
                                          Duration(DefaultRetryAfter));
+    context.channel->hold(request.memoryBytes);
     if (!context.channel->tryRun())
         co_return co_await refuseRequest(context, request, unavailable,
                                          "the memory for requests is used up",
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <iomanip>
 #include <sstream>
 
 namespace Trefoil {
@@ -17,6 +18,10 @@
 
 namespace {
 
+// Turns of most conversations and of the longest ones, whose heads stay within their limit.
+constexpr std::uint64_t FewTurns = 50;
+constexpr std::uint64_t MaxTurns = 1000;
+
 constexpr std::size_t BufferBytes = 256 * 1024;
 constexpr auto ConnectTimeout = std::chrono::seconds(1);
 constexpr auto EntryListLifetime = std::chrono::seconds(2);
@@ -409,15 +414,26 @@
         countFailure(soak, request.kind, "incomplete response");
 }
 
-// All streams share the first part, and sound ones also have one of a few others.
+// All streams share the first part, and have the first turns of one of a few conversations. The
+// ending part stands anywhere but at the end.
 void choosePromptParts(SoakState &soak, SentRequest &request)
 {
     constexpr double endingProbability = 0.25;
     constexpr std::uint64_t soundParts = 5;
     request.hasEndingPart = soak.isEndingPartActive && randomFraction(soak) < endingProbability;
-    const std::string second =
-            request.hasEndingPart ? "dead" : std::to_string(randomBelow(soak, soundParts));
-    request.parts = "aa:40," + second + ":50," + std::to_string(soak.nextRequest) + ":10";
+    const std::uint64_t conversation = randomBelow(soak, soundParts);
+    const std::uint64_t turns = randomBelow(soak, randomBelow(soak, 4) == 0 ? MaxTurns : FewTurns);
+    const std::uint64_t endingPlace = randomBelow(soak, turns + 1);
+    std::ostringstream parts;
+    parts << "aa:40," << conversation << ":50";
+    for (std::uint64_t turn = 0; turn <= turns; ++turn) {
+        if (request.hasEndingPart && turn == endingPlace)
+            parts << ",dead:50";
+        if (turn < turns)
+            parts << ",c" << conversation << std::setw(4) << std::setfill('0') << turn << ":10";
+    }
+    parts << "," << soak.nextRequest << ":10";
+    request.parts = parts.str();
 }
 
 SentRequest makeRandomRequest(SoakState &soak, const Caller &caller, const std::string &id)
--- a/tests/test_linkstate.cpp
+++ b/tests/test_linkstate.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <numeric>
 
 // Tests that any state within the limits passes every link, however often the link breaks.
 
@@ -138,8 +139,13 @@
         for (std::size_t i = 0; i < departures.rows; ++i)
             known.addDeparture(name("d", i, departures.nameBytes));
         for (std::size_t i = 0; i < ends; ++i) {
-            for (std::uint64_t request = 0; request < 20; ++request)
-                known.addEnd(i, {request, {1, 2 + request, 100 + i}});
+            const auto promptParts = *rc::gen::element<std::size_t>(1, 40, 4000, 20'000);
+            PartSet parts(promptParts);
+            std::iota(parts.begin(), parts.end(), 1000 * (i + 1));
+            for (std::uint64_t request = 0; request < 10; ++request) {
+                parts.front() = request;
+                known.addEnd(i, {request, parts});
+            }
         }
         StatePosition received;
         std::size_t parts = 0;
--- a/tests/test_partquarantine.cpp
+++ b/tests/test_partquarantine.cpp
@@ -316,12 +316,183 @@
     BOOST_CHECK_EQUAL(activeVerdictCount(quarantine), 2);
 }
 
-BOOST_AUTO_TEST_CASE(a_long_prompt_uses_much_memory)
+namespace {
+
+// Returns the parts of a conversation, of which each request has the first ones.
+PartSet conversation(std::size_t turns)
+{
+    PartSet parts;
+    for (std::size_t i = 0; i < turns; ++i)
+        parts.push_back(1000 + 10 * i);
+    return parts;
+}
+
+PartSet withPart(PartSet parts, PromptPartId part)
+{
+    parts.insert(std::lower_bound(parts.begin(), parts.end(), part), part);
+    return parts;
+}
+
+// Returns the bytes of the parts of all ends, and checks that the index knows just these parts.
+std::size_t countEndBytes(const PartQuarantine &quarantine)
+{
+    std::size_t bytes = 0;
+    std::map<PromptPartId, std::uint32_t> counts;
+    for (const auto &[engine, end] : quarantine.ends) {
+        for (const auto &[request, parts] : end.suspects) {
+            bytes += parts.size() * sizeof(PromptPartId);
+            for (const PromptPartId part : parts)
+                ++counts[part];
+        }
+    }
+    BOOST_CHECK_EQUAL(counts.size(), quarantine.suspectParts.size());
+    for (const auto &[part, suspect] : quarantine.suspectParts)
+        BOOST_CHECK_EQUAL(counts[part], suspect.count);
+    return bytes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_part_of_a_long_prompt_is_out_of_sight)
 {
     std::vector<PromptPart> parts;
-    for (PromptPartId id = 1; id <= 5000; ++id)
+    for (PromptPartId id = 5000; id >= 1; --id)
         parts.push_back({id, 1});
-    BOOST_CHECK_EQUAL(sharedParts(parts).size(), MaxSharedParts);
+    const PartSet shared = sharedParts(parts);
+    BOOST_CHECK_EQUAL(shared.size(), 4999);
+    BOOST_CHECK(std::is_sorted(shared.begin(), shared.end()));
+    BOOST_CHECK_EQUAL(shared.front(), 2);
+}
+
+// Sound requests share all other parts of the prompt.
+BOOST_AUTO_TEST_CASE(a_bad_part_behind_many_others_is_never_quarantined)
+{
+    constexpr std::size_t turns = 1300;
+    const PartSet sound = conversation(turns);
+    for (const std::size_t place : {0, 31, 32, 33, 700, 1299}) {
+        const PromptPartId bad = sound[place] + 1;
+        PartQuarantine quarantine;
+        recordBegunAnswer(quarantine, sound, Start - seconds(1));
+        for (IncarnationKey engine = 1; engine <= 2; ++engine) {
+            const TimePoint endedAt = Start + milliseconds(400 * engine);
+            endEngine(quarantine, engine, 10 * engine, {withPart(sound, bad), sound}, endedAt);
+            recordBegunAnswer(quarantine, sound, endedAt + milliseconds(50));
+            evaluateParts(quarantine, endedAt + milliseconds(100));
+        }
+        BOOST_TEST_CONTEXT("place " << place)
+        {
+            BOOST_CHECK(isRefused(quarantine, withPart(sound, bad)));
+            BOOST_CHECK(isRefused(quarantine, {bad}));
+            BOOST_CHECK(!isRefused(quarantine, sound));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(several_bad_parts_of_long_prompts_pass)
+{
+    const PartSet sound = conversation(600);
+    const PartSet bad = {sound[40] + 1, sound[300] + 2, sound[599] + 3};
+    PartQuarantine quarantine;
+    recordBegunAnswer(quarantine, sound, Start - seconds(1));
+    IncarnationKey engine = 0;
+    for (int round = 0; round < 3; ++round) {
+        for (const PromptPartId part : bad) {
+            ++engine;
+            const TimePoint endedAt = Start + milliseconds(200 * engine);
+            endEngine(quarantine, engine, engine, {withPart(sound, part)}, endedAt);
+            recordBegunAnswer(quarantine, sound, endedAt + milliseconds(50));
+            evaluateParts(quarantine, endedAt + milliseconds(100));
+        }
+    }
+    for (const PromptPartId part : bad)
+        BOOST_CHECK(isRefused(quarantine, withPart(sound, part)));
+    BOOST_CHECK(!isRefused(quarantine, sound));
+}
+
+// Callers may send the longest prompts that the limits allow, all different, to engines that end.
+BOOST_AUTO_TEST_CASE(long_prompts_use_much_memory)
+{
+    constexpr std::size_t turns = 4000;
+    PartQuarantine quarantine;
+    const PartQuarantineOptions &options = quarantine.options;
+    PromptPartId next = 1;
+    for (IncarnationKey engine = 1; engine <= 40; ++engine) {
+        const TimePoint now = Start + milliseconds(300 * engine);
+        for (std::uint64_t request = 0; request < 20; ++request) {
+            PartSet parts;
+            for (std::size_t i = 0; i < turns; ++i)
+                parts.push_back(next++);
+            recordEngineEnd(quarantine, engine, {100 * engine + request, parts}, now);
+        }
+        BOOST_CHECK_GE(quarantine.ends.size(), std::min<std::size_t>(engine, options.minKeptEnds));
+    }
+    BOOST_CHECK_EQUAL(countEndBytes(quarantine), quarantine.endBytes);
+    BOOST_CHECK_LE(quarantine.endBytes, options.maxEvidenceBytes);
+    for (int i = 0; i < 200; ++i) {
+        PartSet parts;
+        for (std::size_t j = 0; j < turns; ++j)
+            parts.push_back(next++);
+        recordBegunAnswer(quarantine, parts, Start + seconds(20));
+    }
+    const AnsweredParts &answered = quarantine.answered;
+    BOOST_CHECK_LE(answered.once.size(), options.maxAnsweredParts);
+    BOOST_CHECK_LE(answered.recent.size(), options.maxAnsweredParts);
+    BOOST_CHECK_LE(answered.older.size(), options.maxAnsweredParts);
+    BOOST_CHECK_LE(answered.recentOnce.words.size() + answered.olderOnce.words.size(), 8192);
+    removeExpiredEvidence(quarantine, Start + minutes(30));
+    BOOST_CHECK_EQUAL(quarantine.endBytes, 0);
+    BOOST_CHECK(quarantine.suspectParts.empty());
+}
+
+// Long prompts, each part of which is answered once, come between the answers of a sound part.
+BOOST_AUTO_TEST_CASE(long_prompts_make_a_sound_part_forgotten)
+{
+    PartQuarantine quarantine;
+    PromptPartId next = 1'000'000;
+    for (int i = 0; i < 60; ++i) {
+        PartSet parts = {Sound};
+        if (i % 8 != 0)
+            parts.clear();
+        for (int j = 0; j < 1300; ++j)
+            parts.push_back(next++);
+        recordBegunAnswer(quarantine, parts, Start - seconds(61 - i));
+    }
+    for (IncarnationKey engine = 1; engine <= 2; ++engine)
+        endEngine(quarantine, engine, engine, {{Sound}}, Start + milliseconds(300 * engine));
+    BOOST_CHECK(evaluateParts(quarantine, Start + seconds(2)).isEmpty());
+}
+
+// Parts of a request may arrive one after the other, from several processes, or again.
+BOOST_AUTO_TEST_CASE(parts_of_a_request_that_arrive_apart_count_as_several_requests)
+{
+    const PartSet sound = conversation(2 * MaxPartsPerRow + 5);
+    const PromptPartId bad = sound[MaxPartsPerRow + 3] + 1;
+    const PartSet parts = withPart(sound, bad);
+    PartQuarantine known;
+    PartQuarantine peer;
+    for (IncarnationKey engine = 1; engine <= 2; ++engine) {
+        const TimePoint endedAt = Start + milliseconds(300 * engine);
+        for (auto *quarantine : {&known, &peer})
+            recordBegunAnswer(*quarantine, sound, endedAt - milliseconds(10));
+        auto keys = evidenceKeys(endEngine(known, engine, engine, {parts}, endedAt));
+        BOOST_CHECK_EQUAL(keys.size(), 3);
+        std::reverse(keys.begin(), keys.end());
+        keys.push_back(keys.front());
+        for (const EvidenceKey &key : keys) {
+            const PartEvidence row = evidenceOf(known, key, endedAt);
+            BOOST_REQUIRE_EQUAL(row.ends.size(), 1);
+            BOOST_CHECK_LE(row.ends[0].suspects[0].parts.size(), MaxPartsPerRow);
+            mergeEvidence(peer, row, endedAt);
+        }
+        BOOST_CHECK(peer.ends.at(engine).suspects == known.ends.at(engine).suspects);
+        for (auto *quarantine : {&known, &peer}) {
+            recordBegunAnswer(*quarantine, sound, endedAt + milliseconds(50));
+            evaluateParts(*quarantine, endedAt + milliseconds(100));
+        }
+    }
+    BOOST_CHECK(isRefused(known, {bad}));
+    BOOST_CHECK(isRefused(peer, {bad}));
+    BOOST_CHECK(!isRefused(peer, sound));
 }
 
 BOOST_AUTO_TEST_CASE(many_parts_use_much_memory)
@@ -348,8 +519,9 @@
 class EvidenceWorld
 {
 public:
-    explicit EvidenceWorld(std::uint64_t seed)
+    explicit EvidenceWorld(std::uint64_t seed, std::size_t maxTurns = 0)
         : rng_(seed)
+        , maxTurns_(maxTurns)
         , entries_(2 + pick(6))
         , engines_(6 + pick(12))
     {}
@@ -367,10 +539,12 @@
         now_ += StepTime;
         deliverMessages();
         finishRequests();
-        for (std::size_t entry = 0; entry < entries_.size(); ++entry)
-            publish(entry, {});
+        for (std::size_t entry = 0; entry < entries_.size(); ++entry) {
+            if (maxTurns_ == 0 || hasUnsettledEnd(entries_[entry], now_))
+                publish(entry, {});
+        }
         if (chance(requestsPerStep))
-            sendRequest(chance(badShare), pick(entries_.size()), next_++, {});
+            sendRequest(chance(badShare), pick(entries_.size()), next_++, {}, {});
     }
 
     // Ends engines for another reason than a request.
@@ -404,7 +578,8 @@
         std::size_t entry;
         std::size_t engine;
         std::uint64_t request;
-        PartSet parts;
+        PartSet parts; // that the entry sees
+        PartSet bad;   // that the prompt has
         TimePoint beginsAt;
         bool isRepeat;
     };
@@ -422,40 +597,52 @@
         return std::uniform_real_distribution<double>(0, 1)(rng_) < probability;
     }
 
-    bool isBad(const PartSet &parts) const
+    // Returns the parts in a prompt with the first turns of one of a few conversations, among which
+    // they stand anywhere.
+    PartSet addTurns(const PartSet &parts)
     {
-        return std::any_of(parts.begin(), parts.end(),
-                           [this](PromptPartId part) { return badParts.contains(part); });
+        constexpr std::size_t conversations = 6;
+        const PromptPartId first = 1'000'000 * (1 + pick(conversations));
+        const std::size_t turns = pick(maxTurns_);
+        std::vector<PromptPart> prompt;
+        for (std::size_t i = 0; i < turns; ++i)
+            prompt.push_back({first + i, 1});
+        for (const PromptPartId part : parts)
+            prompt.insert(prompt.begin() + static_cast<long>(pick(prompt.size() + 1)), {part, 1});
+        prompt.push_back({100'000'000 + next_, 1});
+        return sharedParts(prompt);
     }
 
-    void sendRequest(bool wantsBad, std::size_t entry, std::uint64_t request, PartSet parts)
+    void sendRequest(bool wantsBad, std::size_t entry, std::uint64_t request, PartSet parts,
+                     PartSet bad)
     {
         const bool isRepeat = !parts.empty();
         if (!isRepeat) {
             parts = {100 + pick(SoundParts)};
             if (wantsBad && !badParts.empty()) {
                 // Requests with a bad part all have the same beginning.
-                const PromptPartId bad =
-                        *std::next(badParts.begin(), static_cast<long>(pick(badParts.size())));
-                parts = {100 + bad % SoundParts, bad};
+                bad = {*std::next(badParts.begin(), static_cast<long>(pick(badParts.size())))};
+                parts = {100 + bad[0] % SoundParts, bad[0]};
             }
+            if (maxTurns_ > 0)
+                parts = addTurns(parts);
             std::sort(parts.begin(), parts.end());
         }
         if (findVerdict(entries_[entry], parts)) {
-            soundRefusals += isBad(parts) ? 0 : 1;
+            soundRefusals += bad.empty() ? 1 : 0;
             return;
         }
         const std::size_t engine = pick(engines_.size());
         if (engines_[engine].upAt > now_)
             return;
-        for (const PromptPartId part : parts) {
+        for (const PromptPartId part : bad) {
             const std::vector<TimePoint> &ends = endsByPart_[part];
             const bool isLate =
                     ends.size() >= AllowedEnds && now_ - ends[AllowedEnds - 1] > AllowedTime;
-            lateSends[part] += badParts.contains(part) && isLate ? 1 : 0;
+            lateSends[part] += isLate ? 1 : 0;
         }
-        running_.push_back(
-                {entry, engine, request, parts, now_ + milliseconds(80 + pick(300)), isRepeat});
+        running_.push_back({entry, engine, request, parts, bad, now_ + milliseconds(80 + pick(300)),
+                            isRepeat});
     }
 
     void finishRequests()
@@ -467,9 +654,9 @@
             }
             const Running request = running_[i];
             running_.erase(running_.begin() + static_cast<long>(i));
-            if (isBad(request.parts)) {
+            if (!request.bad.empty()) {
                 running_.push_back(request);
-                for (const PromptPartId part : request.parts)
+                for (const PromptPartId part : request.bad)
                     endsByPart_[part].push_back(now_);
                 endEngineAt(request.engine);
                 i = 0;
@@ -502,7 +689,7 @@
         for (const Running &request : lost) {
             if (!request.isRepeat
                 && tryTakeRepeatAfterEnd(entries_[request.entry], request.parts, now_))
-                sendRequest(false, request.entry, request.request, request.parts);
+                sendRequest(false, request.entry, request.request, request.parts, request.bad);
         }
     }
 
@@ -537,6 +724,7 @@
     }
 
     std::mt19937_64 rng_;
+    std::size_t maxTurns_;
     TimePoint now_ = Start;
     PartQuarantine control_;
     std::vector<PartQuarantine> entries_;
@@ -579,4 +767,25 @@
     BOOST_CHECK(holds);
 }
 
+// The same with prompts of hundreds of parts, in which the bad part stands anywhere.
+BOOST_AUTO_TEST_CASE(bad_parts_of_long_prompts_pass_in_random_fleets)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        EvidenceWorld world(seed, 400);
+        std::mt19937_64 rng(seed);
+        for (int i = 0; i < 4 * StepsPerSecond; ++i)
+            world.step(0.3, 0);
+        const std::size_t badPartCount = 1 + rng() % 3;
+        for (std::size_t i = 0; i < badPartCount; ++i)
+            world.badParts.insert(rng() % 2 == 0 ? 1000 + rng() % 1000 : 9'000'000 + rng() % 1000);
+        for (int i = 0; i < 16 * StepsPerSecond; ++i) {
+            world.step(0.3, 0.04);
+            if (rng() % (8 * StepsPerSecond) == 0)
+                world.endEngines(1 + rng() % 2);
+        }
+        for (const auto &[part, sends] : world.lateSends)
+            BOOST_CHECK_MESSAGE(sends <= 3, "seed " << seed << ": " << sends << " late requests");
+    }
+}
+
 } // namespace Trefoil
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -216,7 +216,17 @@
     BOOST_CHECK(dialect.decodePromptParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == expected);
     BOOST_CHECK(dialect.decodePromptParts(" 5c1e07a2:800, 91BD3F06:410 ,e4402b7d:250") == expected);
     BOOST_CHECK(dialect.decodePromptParts("").empty());
-    BOOST_CHECK(dialect.decodePromptParts(",:1,x:2,12,123456789abcdef01:3").empty());
+    // Ids that are no numbers of 64 bits stand for themselves. Otherwise the part before them would
+    // count as the last one.
+    const auto odd =
+            dialect.decodePromptParts(",:1,x:2,12,123456789abcdef01:3,123456789abcdef02:3");
+    BOOST_REQUIRE_EQUAL(odd.size(), 5);
+    std::set<PromptPartId> ids;
+    for (const PromptPart &part : odd)
+        ids.insert(part.id);
+    BOOST_CHECK_EQUAL(ids.size(), 5);
+    BOOST_CHECK(dialect.decodePromptParts("123456789abcdef01:9")[0].id == odd[3].id);
+    BOOST_CHECK_EQUAL(odd[2].id, 0x12);
     const std::vector<PromptPartId> shared{0x5c1e07a2, 0x91bd3f06};
     BOOST_CHECK(sharedParts(expected) == shared);
     BOOST_CHECK(sharedParts({}).empty());
--- a/tests/test_relay.cpp
+++ b/tests/test_relay.cpp
@@ -97,9 +97,12 @@
 
 bool endsEngine(const ScriptedEndpoint &endpoint, const HttpHead &request)
 {
-    const std::string *parts = findField(request, "X-Trefoilrun-Prompt-Prefix");
-    return !endpoint.endingPart.empty() && parts
-           && parts->find(endpoint.endingPart) != std::string::npos;
+    return !endpoint.endingPart.empty()
+           && std::any_of(request.fields.begin(), request.fields.end(),
+                          [&](const HttpField &field) {
+                              return equalsIgnoringCase(field.name, "X-Trefoilrun-Prompt-Prefix")
+                                     && field.value.find(endpoint.endingPart) != std::string::npos;
+                          });
 }
 
 asio::awaitable<void> serveScript(ScriptedEndpoint &endpoint, ChannelPointer channel)
@@ -1160,6 +1163,38 @@
     BOOST_CHECK(fixture.third.receivedHeads.empty());
 }
 
+// The part that ends engines stands behind or before hundreds of others, in a second field, or
+// before a last one that is no number. An answer has shown that all other parts are sound.
+BOOST_AUTO_TEST_CASE(part_that_ends_engines_is_out_of_sight)
+{
+    std::string turns;
+    for (int i = 0; i < 600; ++i)
+        turns += "c" + std::to_string(10'000 + i) + ":10,";
+    const std::string nextField = "aa:800\r\nX-Trefoilrun-Prompt-Prefix: ";
+    struct Prompt
+    {
+        std::string before;
+        std::string after;
+    };
+    for (const Prompt &prompt : {Prompt{"aa:800," + turns, ""}, Prompt{"aa:800,", turns},
+                                 Prompt{nextField, "aa:1,"}, Prompt{"aa:800,", "no-number-"}}) {
+        RelayFixture fixture;
+        publishEndingEngines(fixture);
+        fixture.first.responses = {makeWholeStream("id: 1\ndata: a\n\n")};
+        fixture.exchange(makeStreamRequest(prompt.before + prompt.after + "1:20"), "0\r\n\r\n");
+        const std::string start = prompt.before + "bad:400," + prompt.after;
+        fixture.exchangeAgain(makeStreamRequest(start + "2:20"), "HTTP/1.1 502");
+        BOOST_CHECK_EQUAL(fixture.second.receivedHeads.size(), 1);
+        evaluateEvidence(fixture.state);
+        fixture.exchangeAgain(makeStreamRequest(start + "3:20"), "engines ended");
+        BOOST_TEST_CONTEXT("prompt " << start.substr(0, 40))
+        {
+            BOOST_CHECK(contains(fixture.callerInput, "HTTP/1.1 503"));
+            BOOST_CHECK(fixture.third.receivedHeads.empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(sound_request_is_refused_for_a_part_that_it_shares_with_a_bad_one)
 {
     RelayFixture fixture;
