--- a/src/libfleet/departures.cpp
+++ b/src/libfleet/departures.cpp
@@ -55,14 +55,6 @@
             known.isDurable};
 }
 
-std::vector<DepartureNotice> makeDepartureNotices(const DepartureTable &table, TimePoint now)
-{
-    std::vector<DepartureNotice> notices;
-    for (const auto &[endpoint, known] : table.byEndpoint)
-        notices.push_back(makeDepartureNotice(table, endpoint, now));
-    return notices;
-}
-
 void removeExpiredDepartures(DepartureTable &table, Duration retention, std::size_t maxCount,
                              TimePoint now)
 {
--- a/src/libfleet/departures.h
+++ b/src/libfleet/departures.h
@@ -77,7 +77,6 @@
 // table.
 DepartureNotice makeDepartureNotice(const DepartureTable &table, const EndpointId &endpoint,
                                     TimePoint now);
-std::vector<DepartureNotice> makeDepartureNotices(const DepartureTable &table, TimePoint now);
 
 // Removes departures that are older than `retention`, and the oldest beyond `maxCount`.
 void removeExpiredDepartures(DepartureTable &table, Duration retention, std::size_t maxCount,
--- a/src/libfleet/dialect.h
+++ b/src/libfleet/dialect.h
@@ -81,8 +81,8 @@
     // reason why the body is invalid.
     std::variant<std::uint64_t, std::string> (*decodeDeparture)(std::string_view body) = nullptr;
 
-    // Returns the parts of a prompt in order. An id that is no number of 64 bits counts by its text,
-    // so that no part is left out, whatever it looks like.
+    // Returns the parts of a prompt in order. An id that is no number of 64 bits counts by its
+    // text, so that no part is left out, whatever it looks like.
     std::vector<PromptPart> (*decodePromptParts)(std::string_view text) = nullptr;
 
     // Returns the number of requests a second that an endpoint takes from all entries together, or
--- a/src/libfleet/partquarantine.cpp
+++ b/src/libfleet/partquarantine.cpp
@@ -705,22 +705,6 @@
     return evidence;
 }
 
-PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now)
-{
-    PartEvidence evidence;
-    for (const auto &[engine, end] : quarantine.ends) {
-        PartEvidence::End known{engine, toMs(now - end.at), {}};
-        for (const auto &[request, parts] : end.suspects)
-            known.suspects.push_back({request, parts});
-        evidence.ends.push_back(std::move(known));
-    }
-    for (const auto &[part, at] : quarantine.suspectAnswers)
-        evidence.answers.push_back({part, toMs(now - at)});
-    for (const auto &[parts, verdict] : quarantine.verdicts)
-        evidence.verdicts.push_back(toEvidence(parts, verdict, now));
-    return evidence;
-}
-
 void removeExpiredEvidence(PartQuarantine &quarantine, TimePoint now)
 {
     const PartQuarantineOptions &options = quarantine.options;
--- a/src/libfleet/partquarantine.h
+++ b/src/libfleet/partquarantine.h
@@ -227,9 +227,6 @@
 // Quarantines parts that explain the ends of engines. Returns the evidence of the new verdicts.
 PartEvidence evaluateParts(PartQuarantine &quarantine, TimePoint now);
 
-// Returns everything a process that has just started needs to know.
-PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now);
-
 // Forgets what is older than its retention.
 void removeExpiredEvidence(PartQuarantine &quarantine, TimePoint now);
 
--- a/tests/test_partquarantine.cpp
+++ b/tests/test_partquarantine.cpp
@@ -31,6 +31,24 @@
     return evidence;
 }
 
+// Returns all that a process that has just started is told.
+PartEvidence allEvidence(const PartQuarantine &quarantine, TimePoint now)
+{
+    std::vector<EvidenceKey> keys;
+    for (const auto &[engine, end] : quarantine.ends) {
+        for (const auto &[request, parts] : end.suspects)
+            keys.emplace_back(SuspectKey{engine, request, parts.front()});
+    }
+    for (const auto &[part, at] : quarantine.suspectAnswers)
+        keys.emplace_back(part);
+    for (const auto &[parts, verdict] : quarantine.verdicts)
+        keys.emplace_back(parts);
+    PartEvidence evidence;
+    for (const EvidenceKey &key : keys)
+        appendEvidence(evidence, evidenceOf(quarantine, key, now));
+    return evidence;
+}
+
 bool isRefused(const PartQuarantine &quarantine, const PartSet &parts)
 {
     return findVerdict(quarantine, parts).has_value();
